The design's path with rules, health, ramp and levels, through the adapter

First version: bind on join, shared tables by route group, damped latency weights, withdrawal of draining and gone hosts, ramp of cold hosts, health from the late sums, levels and tries.

The cap counted binds but not tuning: now all messages are spaced so that no proxy can get more than its cap. Withdrawals were bounded over all hosts and could empty the smaller table: now they are bounded table by table, and hosts judged sick are used again when the others drain. Spacing may hurt where a cap is very low: a withdrawal may wait one spacing, which has to fit the drain grace.

--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,180 @@
+"""Plain cases, and seeded random runs that check the rules after every step."""
+
+from __future__ import annotations
+
+from fakes import FACTS, SECOND, Stage, facts
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+READY = ("in_service", 0)
+
+
+def started(stage: Stage, hosts: int = 8, proxies: int = 4) -> Stage:
+    stage.list({f"h{k}": READY for k in range(hosts)})
+    for proxy in range(proxies):
+        stage.join(proxy)
+    stage.over()
+    return stage
+
+
+def test_a_joining_proxy_is_bound_once_to_full_tables() -> None:
+    stage = started(Stage())
+    assert len(stage.weights(0)) == 8 and set(stage.weights(1)) == {"h1", "h3", "h5", "h7"}
+    assert all(book == {0: 0, 1: 0, 2: 1} for book in stage.host.bound.values())
+
+
+def test_weights_follow_heard_latency_in_damped_steps() -> None:
+    stage = started(Stage())
+    for _ in range(12):
+        for k in range(8):
+            stage.hear(f"h{k}", 20, 0, 400 if k == 0 else 100 if k == 1 else 200)
+        stage.pass_time(SECOND)
+    weights = stage.weights()
+    assert weights["h0"] < 0.62 and weights["h1"] > 1.5 and 0.9 < weights["h2"] < 1.1
+
+
+def test_a_draining_host_is_shut_out_at_once() -> None:
+    stage = started(Stage())
+    stage.list({"h2": ("terminating", 0)}, whole=False)
+    stage.over()
+    assert stage.host.out["h2"] and "h2" not in stage.weights()
+
+
+def test_a_host_missing_from_a_whole_list_is_gone_and_comes_back_cold() -> None:
+    stage = started(Stage())
+    stage.list({f"h{k}": READY for k in range(7)})
+    stage.over()
+    assert stage.host.out["h7"]
+    stage.pass_time(5 * SECOND)
+    stage.list({"h7": ("in_service", stage.now)}, whole=False)
+    stage.over()
+    assert not stage.host.out["h7"] and 0 < stage.weights()["h7"] <= 0.25
+
+
+def test_a_failing_host_rests_then_returns_on_trial() -> None:
+    stage = started(Stage())
+    for _ in range(3):
+        for k in range(8):
+            stage.hear(f"h{k}", 10, 8 if k == 0 else 0, 100)
+        stage.pass_time(SECOND)
+    assert "h0" not in stage.weights()
+    stage.pass_time(7 * SECOND)
+    assert 0 < stage.weights()["h0"] <= 0.5
+
+
+def test_a_trouble_of_everything_takes_nothing_out() -> None:
+    stage = started(Stage())
+    for _ in range(6):
+        for k in range(8):
+            stage.hear(f"h{k}", 10, 8, 100)
+        stage.pass_time(SECOND)
+    assert len(stage.weights()) == 8
+
+
+def test_sick_hosts_are_used_when_the_others_drain() -> None:
+    stage = started(Stage())
+    for _ in range(3):
+        for k in range(8):
+            stage.hear(f"h{k}", 10, 8 if k in (1, 3) else 0, 100)
+        stage.pass_time(SECOND)
+    assert set(stage.weights(1)) == {"h5", "h7"}
+    stage.list({"h5": ("terminating", 0), "h7": ("terminating", 0)}, whole=False)
+    stage.over()
+    assert set(stage.weights(1)) == {"h1", "h3"}
+
+
+def test_overload_throttles_the_least_important_route_first() -> None:
+    stage = started(Stage())
+    for _ in range(12):
+        for k in range(8):
+            stage.hear(f"h{k}", 20, 2, 1500)
+        for proxy in range(4):
+            for route in ("read", "save", "book"):
+                stage.come(proxy, route, 10)
+        stage.pass_time(SECOND)
+    levels = stage.host.levels
+    assert levels[0, 0] < 0.9 and levels[0, 0] < levels[0, 1] <= 1
+    assert any("throttling on" in text for text in stage.host.logs)
+
+
+def test_a_lost_list_is_asked_for_again() -> None:
+    stage = started(Stage())
+    assert stage.host.watched == 1
+    stage.director.list_lost(stage.now)
+    stage.pass_time(3 * SECOND)
+    assert stage.host.watched == 2 and len(stage.weights()) == 8
+
+
+STEP = st.tuples(st.integers(0, 7), st.integers(0, 9), st.integers(0, 1000), st.sampled_from([0.3, 1.0]))
+
+
+@settings(derandomize=True, deadline=None, max_examples=120)
+@given(
+    st.lists(STEP, min_size=5, max_size=60),
+    st.sampled_from(["ratio", "rps", "none"]),
+    st.sampled_from([0, 12]),
+)
+def test_the_rules_hold_after_every_step(
+    steps: list[tuple[int, int, int, float]], admit: str, cap: int
+) -> None:
+    terms = facts(fleet__admit=admit, channel__messages_most=cap)
+    stage = Stage(terms)
+    modes: dict[str, tuple[str, int]] = {f"h{k}": READY for k in range(10)}
+    stage.list(modes)
+    told: dict[str, int] = {}
+    bare: dict[int, int] = {}
+    for what, k, size, speed in steps:
+        name, mode = f"h{k}", ("in_service", "terminating", "terminated")[size % 3]
+        if what == 0:
+            modes[name] = (mode, stage.now if mode == "in_service" else 0)
+            stage.list({name: modes[name]}, whole=False)
+        elif what == 1 and k not in stage.host.joined:
+            stage.join(k, size / 10)
+        elif what == 2 and k in stage.host.joined:
+            stage.leave(k)
+        elif what == 3:
+            stage.hear(name, size % 30, min(size % 30, size // 40), size)
+        elif what == 4:
+            for j in range(10):
+                stage.hear(f"h{j}", 20, size % 19, size * 2)
+        elif what == 5 and k in stage.host.joined:
+            stage.come(k, FACTS.routes[size % 3].name, size)
+        elif what == 6:
+            stage.director.list_lost(stage.now)
+        stage.over()
+        stage.pass_time(size * 10, speed)
+        check(stage, modes, told, bare)
+
+
+def check(
+    stage: Stage, modes: dict[str, tuple[str, int]], told: dict[str, int], bare: dict[int, int]
+) -> None:
+    host, now, terms = stage.host, stage.now, stage.host.terms
+    assert host.queue <= terms.channel.most_waiting
+    for times in host.messages.values():
+        recent = [t for t in times if t > now - terms.channel.messages_over]
+        assert not terms.channel.messages_most or len(recent) <= terms.channel.messages_most
+    for k, tries in host.tries.items():  # only what may run again is tried after any failure
+        assert tries <= 1 or terms.routes[k].semantics == "idempotent"
+    for name, (mode, since) in modes.items():
+        told[name] = told.get(name, now) if mode != "in_service" else now
+        if mode != "in_service" and now - told[name] >= terms.rules.drain_grace:
+            assert host.out.get(name), f"{name} still open"
+        grown = (
+            terms.rules.start_capacity + (1 - terms.rules.start_capacity) * (now - since) / terms.rules.cold
+        )
+        if mode == "in_service" and since and grown < 1:
+            for table in host.lines:  # a cold host's share of the average stays under what it can do
+                weights = list(stage.weights(table).values())
+                mean = sum(weights) / max(len(weights), 1)
+                share = stage.weights(table).get(name, 0.0) / mean if mean else 0.0
+                assert share <= terms.rules.fall_multiple * grown
+    warm = [n for n, (mode, since) in modes.items() if mode == "in_service" and not since]
+    for proxy in host.joined:
+        book = host.bound.get(proxy, {})
+        open_to = [[n for n in warm if not r.kinds or int(n[1:]) % 2] for r in terms.routes]
+        lacks = any(
+            open_to[k] and (k not in book or not stage.weights(book[k])) for k in range(len(terms.routes))
+        )
+        bare[proxy] = bare.get(proxy, now) if lacks else now
+        assert now - bare[proxy] <= terms.rules.bare
--- /dev/null
+++ b/willowhook/__init__.py
@@ -0,0 +1,1 @@
+"""willowhook: a configuration controller for a proxy fleet."""
--- /dev/null
+++ b/willowhook/rules.py
@@ -0,0 +1,444 @@
+"""All decisions of one director: who is bound to what, with which weights, levels and tries.
+
+How to call it: `Director(host, facts, seed, now)`, then one method for each thing that happens, and
+`moment_over` after the last of one moment: it gives the orders, through the `Host` of `host.py`.
+The design it follows, and where it departs from it, is in docs/design.md.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from statistics import median
+
+from .host import Facts, Host, Route
+
+SECOND = 10_000  # times are whole tenths of a millisecond
+BEAT = 5_000  # between looks at health, ramps and levels
+SOLVE_EVERY = 3 * SECOND  # the design's period for weights
+DAMPING = 0.5  # of the gap to the target, a step
+CLAMP = 2.0  # a target stays within this factor of its base
+CHANGE = 0.1  # a weight is sent when it moved by more than this share
+ENTRY = 0.5  # of the average weight, for a newly started host
+BUCKETS = 4  # of heard time that a judgement rests on
+TUNING_RATE = 0.5  # of the channel's rate, the most that weights may use
+SICK_SHARE = 0.25  # errors above the fleet's usual share that make a host sick
+SICK_SIGMAS = 3.0  # and how sure that has to be
+SILENT_CALLS = 6.0  # calls that a host would have had by its usual rate, and none came back
+REST = 5 * SECOND  # a sick host's first time out; doubles with each relapse
+TRIAL = 0.25  # of its weight, for a host on trial
+TRIAL_CALLS = 4  # good answers that end a trial
+KEEP = 0.3  # share of the ready hosts that no judgement takes out
+TIGHT = 0.55  # latency over SLO time (and errors) from which calls are throttled
+EASY = 0.4  # under which levels rise again
+CALM = 0.35  # under which a repeatable call may try twice
+RISE = 1.08  # of the admitted share, a step
+FLOOR = 0.2  # least share of a route that is let in
+UNLIMITED = 1e6  # calls a second at a proxy: no limit
+
+
+class Ring:
+    """Sums in fixed buckets of time, used again in a ring."""
+
+    def __init__(self, width: int, fields: int) -> None:
+        self.width, self.fields = width, fields
+        self.stamps = [-1] * BUCKETS
+        self.sums = [[0.0] * fields for _ in range(BUCKETS)]
+
+    def add(self, now: int, *values: float) -> None:
+        stamp = now // self.width
+        k = stamp % BUCKETS
+        if self.stamps[k] != stamp:
+            self.stamps[k], self.sums[k] = stamp, [0.0] * self.fields
+        for i, value in enumerate(values):
+            self.sums[k][i] += value
+
+    def total(self, now: int) -> list[float]:
+        oldest = now // self.width - BUCKETS
+        rows = [row for stamp, row in zip(self.stamps, self.sums, strict=True) if stamp > oldest]
+        return [sum(column) for column in zip(*rows, strict=True)] if rows else [0.0] * self.fields
+
+    def forget(self) -> None:
+        self.stamps = [-1] * BUCKETS
+
+
+class Upstream:
+    """A listed host, as this director knows it."""
+
+    def __init__(self, width: int) -> None:
+        self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
+        self.heard = Ring(width, 3)  # tries, errors, time of the answered
+        self.factor = 1.0  # what latency has made of its base weight
+        self.usual = 0.0  # calls a second that it usually answers
+        self.out_until, self.rest, self.trial = 0, REST, False  # sick: until then, then on trial
+        self.sick = False
+        self.withdrawn = False  # as ordered
+
+
+class Table:
+    """A shared table: the routes that may use the same hosts."""
+
+    def __init__(self, number: int, routes: list[int], like: Route) -> None:
+        self.number, self.routes, self.like = number, routes, like
+        self.mask = sum(1 << k for k in routes)
+        self.sent: dict[str, float] = {}
+        self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
+        self.stale = False  # a proxy was bound since the table last went out whole
+
+
+class Director:
+    def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
+        self.host, self.facts = host, facts
+        self.chance = random.Random(seed).random
+        self.width = max(facts.fleet.period, SECOND)
+        self.hosts: dict[str, Upstream] = {}
+        self.tables: list[Table] = []
+        groups: dict[tuple[tuple[str, ...], tuple[str, ...]], list[int]] = {}
+        for k, route in enumerate(facts.routes):
+            groups.setdefault((route.kinds, route.zones), []).append(k)
+        for number, routes in enumerate(groups.values()):
+            self.tables.append(Table(number, routes, facts.routes[routes[0]]))
+        self.proxies: dict[int, float] = {}
+        self.bound: dict[int, bool] = {}
+        self.came = {r.name: Ring(self.width, 2) for r in facts.routes}  # calls and their reported time
+        self.rates: dict[tuple[int, str], float] = {}  # calls a second of a route at a proxy
+        self.room, self.tightened, self.stress = 1.0, 0, 0.0
+        self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
+        self.queue = 0
+        self.moment: dict[int, int] = {}
+        self.mark, self.tune_after = 0, 0
+        most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
+        self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
+        self.send_after = now
+        self.listing: dict[str, None] | None = None
+        self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
+        self.solve_at, self.beat_at = now + SOLVE_EVERY, now + BEAT
+        host.after(BEAT, 0)
+
+    # Join, bind, fill, resend, solve, pace: the ordinary path.
+
+    def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
+        self.proxies[proxy], self.bound[proxy] = rate, False
+        self.waiting[proxy] = []
+
+    def proxy_left(self, now: int, proxy: int) -> None:
+        self.queue -= sum(lines for _, lines in self.waiting.pop(proxy, []))
+        for route in self.facts.routes:
+            self.rates.pop((proxy, route.name), None)
+        self.proxies.pop(proxy, None)
+        self.bound.pop(proxy, None)
+
+    def moment_over(self, now: int) -> None:
+        """Gives the orders of this moment: those that keep rules first, then binds, resends, tuning."""
+        if 0 <= self.listen_at <= now:
+            self.host.watch(True)
+            self.listen_at = -1
+        if now < self.send_after:
+            return
+        self.guard(now)
+        limit = self.facts.channel.most_waiting / 2
+        for proxy, done in list(self.bound.items()):
+            cost = sum(2 + len(t.sent) + len(t.levels) for t in self.tables)
+            if not done and self.load() + cost < limit:
+                for table in self.tables:
+                    self.host.bind(proxy, table.number, table.mask)
+                    table.stale = True
+                self.bound[proxy] = True
+                self.charge([proxy], cost)
+        if now >= self.tune_after and self.load() < limit / 2:
+            before = self.load()
+            for table in self.tables:
+                if self.load() < limit:
+                    self.tune(now, table)
+            self.tune_after = now + BEAT + int((self.load() - before) / self.pace() * SECOND / TUNING_RATE)
+        self.send(now)
+
+    def tune(self, now: int, table: Table) -> None:
+        """Sends the lines that moved, or all of them where a proxy was bound since."""
+        users = [p for p, done in self.bound.items() if done]
+        for name, up in self.hosts.items():
+            weight, old = self.weight(now, table, up), table.sent.get(name, 0.0)
+            if weight == 0.0 and old == 0.0:
+                continue
+            if table.stale or (weight == 0) != (old == 0) or abs(weight - old) > CHANGE * old:
+                self.line(table, name, weight, users)
+        table.stale = False
+        for k, (tries, level) in self.levels(table).items():
+            before = table.levels.get(k)
+            if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
+                self.host.allow(table.number, 1 << k, tries, level)
+                table.levels[k] = (tries, level)
+                self.charge(users, 1)
+
+    def line(self, table: Table, name: str, weight: float, users: list[int]) -> None:
+        self.host.line(table.number, name, weight)
+        self.charge(users, 1)
+        if weight > 0:
+            table.sent[name] = weight
+        else:
+            table.sent.pop(name, None)
+
+    def solve(self, now: int) -> None:
+        """A step of every weight towards listed weight x median latency / own latency."""
+        latency: dict[str, float] = {}
+        for name, up in self.hosts.items():
+            tries, errors, spent = up.heard.total(now)
+            if up.mode == "in_service" and tries - errors >= 2:
+                latency[name] = spent / (tries - errors)
+        if not latency:
+            return
+        middle = median(latency.values())
+        for name, up in self.hosts.items():
+            target = min(CLAMP, max(1 / CLAMP, middle / latency[name])) if latency.get(name) else 1.0
+            up.factor += DAMPING * (target - up.factor)
+
+    def weight(self, now: int, table: Table, up: Upstream) -> float:
+        if not self.open_to(table, up) or (up.sick and now < up.out_until):
+            return 0.0
+        return up.size * up.factor * self.warmth(now, up) * (TRIAL if up.sick else 1.0)
+
+    def open_to(self, table: Table, up: Upstream) -> bool:
+        kinds, zones = table.like.kinds, table.like.zones
+        return up.mode == "in_service" and (not kinds or up.kind in kinds) and (not zones or up.zone in zones)
+
+    # The channel: lines that no proxy has confirmed yet are taken to wait.
+
+    def pace(self) -> float:
+        return self.facts.channel.lines_per_s
+
+    def load(self) -> float:
+        return self.queue + sum(self.moment.values()) + len(self.moment) * (self.facts.channel.head_lines + 1)
+
+    def charge(self, proxies: list[int], lines: int) -> None:
+        for proxy in proxies:
+            self.moment[proxy] = self.moment.get(proxy, 0) + lines
+
+    def send(self, now: int) -> None:
+        """Books the moment's messages, and tags them so that their arrival is known."""
+        if not self.moment:
+            return
+        self.mark = (self.mark + 1) % 65536
+        self.host.mark(self.mark, False)
+        for proxy, lines in self.moment.items():
+            whole = lines + int(self.facts.channel.head_lines) + 1
+            self.waiting[proxy].append((self.mark, whole))
+            self.queue += whole
+        self.moment.clear()
+        self.send_after = now + self.spacing
+
+    def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
+        book = self.waiting.get(proxy, [])
+        for i, (mark, _) in enumerate(book):
+            if mark == number:
+                self.queue -= sum(lines for _, lines in book[: i + 1])
+                del book[: i + 1]
+                return
+
+    # Rules first: what the list says of draining, gone and new hosts.
+
+    def guard(self, now: int) -> None:
+        everyone = list(self.proxies)
+        changed = sum(up.withdrawn != (up.mode != "in_service") for up in self.hosts.values())
+        most = len(everyone) * (self.facts.channel.head_lines + 1 + changed * (1 + len(self.tables)))
+        if changed and self.load() + most > self.facts.channel.most_waiting:
+            return
+        for name, up in self.hosts.items():
+            out = up.mode != "in_service"
+            if out and not up.withdrawn:
+                self.host.withdraw(name, True)
+                self.charge(everyone, 1)
+                for table in self.tables:
+                    if name in table.sent:
+                        self.line(table, name, 0.0, [p for p in everyone if self.bound[p]])
+            elif up.withdrawn and not out:
+                self.host.withdraw(name, False)
+                self.charge(everyone, 1)
+            up.withdrawn = out
+        for table in self.tables:
+            if not table.sent:  # a table is filled before any proxy is bound to it, and never left empty
+                self.tune(now, table)
+
+    def list_began(self, now: int, whole: bool) -> None:
+        self.listing = {} if whole else None
+        self.backoff = SECOND
+
+    def host_listed(
+        self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
+    ) -> None:
+        up = self.hosts.get(name)
+        if up is None:
+            up = self.hosts[name] = Upstream(self.width)
+            up.started = started if now - started >= self.facts.rules.cold else 0
+        if started != up.started:  # a new process: nothing heard of the old one holds
+            up.heard.forget()
+            up.factor, up.sick, up.rest = ENTRY, False, REST
+        if self.facts.weights in ("nominal", "rough"):
+            up.size = size
+        up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
+        if self.listing is not None:
+            self.listing[name] = None
+
+    def list_ended(self, now: int) -> None:
+        if self.listing is not None:
+            for name, up in self.hosts.items():
+                if name not in self.listing:
+                    up.mode = "terminated"
+        for table in self.tables:  # the last hosts left are used, however they fare
+            left = [up for up in self.hosts.values() if self.open_to(table, up)]
+            if all(up.sick for up in left):
+                for up in left:
+                    up.sick = False
+        self.tune_after = now
+
+    def list_lost(self, now: int) -> None:
+        if self.facts.subscribe:
+            self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
+            self.listen_at = now + int(self.backoff * (0.5 + self.chance()))
+            self.backoff = min(2 * self.backoff, max(self.facts.rules.ask_every // 3, SECOND))
+
+    # Ramp: a cold host's weight follows what it can do.
+
+    def warmth(self, now: int, up: Upstream) -> float:
+        rules = self.facts.rules
+        age = now - up.started
+        if not up.started or age >= rules.cold:
+            return 1.0
+        grown = rules.start_capacity + (1 - rules.start_capacity) * max(age, 0) / rules.cold
+        return grown
+
+    # Health: from the late sums of what the proxies met.
+
+    def hosts_heard(
+        self, now: int, name: str, zone: str, tries: int, errors: int, latency: int, window: int,
+        load: dict[str, float],
+    ) -> None:  # fmt: skip
+        up = self.hosts.get(name)
+        if up is not None:
+            up.heard.add(now, tries, errors, latency * (tries - errors))
+
+    def look(self, now: int) -> None:
+        """Takes out the hosts that fail where others do not; gives those that rested a trial."""
+        ready = [(n, u) for n, u in self.hosts.items() if u.mode == "in_service"]
+        sums = {name: up.heard.total(now) for name, up in ready}
+        shares = [e / t for t, e, _ in sums.values() if t >= 3]
+        usual = median(shares) if shares else 0.0
+        for name, up in ready:
+            tries, errors, _ = sums[name]
+            share = errors / tries if tries else 0.0
+            sure = (share - usual) * math.sqrt(tries) > SICK_SIGMAS * math.sqrt(usual * (1 - usual) + 0.02)
+            if up.sick:
+                if now < up.out_until:
+                    up.heard.forget()
+                elif errors >= 2 and share > usual + SICK_SHARE:
+                    up.rest = min(2 * up.rest, 4 * REST)
+                    up.out_until = now + up.rest
+                    self.host.log(f"{name} fails its trial: {errors:.0f} of {tries:.0f} dropped")
+                elif tries - errors >= TRIAL_CALLS:
+                    up.sick = False
+                    self.host.log(f"{name} is back: {errors:.0f} of {tries:.0f} dropped")
+            elif errors >= 3 and share > usual + SICK_SHARE and sure and self.spared(up):
+                up.sick, up.out_until = True, now + up.rest
+                self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
+
+    def spared(self, up: Upstream) -> bool:
+        """Whether every table keeps enough other hosts if this one goes out."""
+        for table in self.tables:
+            if self.open_to(table, up):
+                others = [u for u in self.hosts.values() if u is not up and self.open_to(table, u)]
+                if sum(not u.sick for u in others) < max(2, KEEP * (len(others) + 1)):
+                    return False
+        return True
+
+    # Levels and tries: throttle early under overload, least importance first.
+
+    def calls_came(self, now: int, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
+        if proxy in self.proxies and window > 0:
+            self.came[route].add(now, calls, dropped)
+            self.rates[proxy, route] = calls * SECOND / window
+
+    def gauge(self, now: int) -> None:
+        """One figure of stress: answered calls' latency over their SLO time, and the share dropped."""
+        tries = errors = spent = 0.0
+        for up in self.hosts.values():
+            if not up.sick:
+                t, e, s = up.heard.total(now)
+                tries, errors, spent = tries + t, errors + e, spent + s
+        mix = [(self.came[r.name].total(now)[0], r.slo_time) for r in self.facts.routes]
+        calls = sum(n for n, _ in mix)
+        if tries - errors < 1 or calls < 1:
+            return
+        slo = sum(n * aim for n, aim in mix) / calls
+        self.stress = spent / (tries - errors) / slo + errors / tries
+        was = self.room
+        if self.stress > TIGHT and now >= self.tightened + self.lag():
+            self.room = max(0.1, self.room * max(0.6, TIGHT / self.stress * 0.95))
+            self.tightened = now
+        elif self.stress < EASY and self.room < 1 and now >= self.tightened + self.lag():
+            self.room = min(1.0, self.room * RISE)
+            self.tightened = now - self.lag() // 2
+        if (was < 1) != (self.room < 1):
+            self.host.log(f"throttling {'on' if self.room < 1 else 'off'}: stress {self.stress:.2f}")
+
+    def lag(self) -> int:
+        return self.width * 2 + self.facts.channel.late_most + SECOND
+
+    def levels(self, table: Table) -> dict[int, tuple[int, float]]:
+        routes, fleet = self.facts.routes, self.facts.fleet
+        demand = {r.name: 0.0 for r in routes}
+        for route in routes:
+            demand[route.name] = (
+                sum(v for (_, n), v in self.rates.items() if n == route.name) * route.slo_time
+            )
+        left = self.room * sum(demand.values())
+        shares: dict[str, float] = {}
+        order = sorted(routes, key=lambda r: -r.importance / r.slo_time)
+        for i, route in enumerate(order):
+            keep = FLOOR * sum(demand[r.name] for r in order[i + 1 :])
+            part = (left - keep) / demand[route.name] if demand[route.name] > 0 else 1.0
+            shares[route.name] = min(1.0, max(FLOOR, part)) if self.room < 1 else 1.0
+            left -= shares[route.name] * demand[route.name]
+        result = {}
+        for k in table.routes:
+            tries = 2 if routes[k].semantics == "idempotent" and self.stress < CALM and self.room >= 1 else 1
+            level = shares[routes[k].name]
+            if fleet.admit == "rps":
+                level = self.allowance(routes[k].name, level)
+            result[k] = (tries, level)
+        return result
+
+    def allowance(self, route: str, share: float) -> float:
+        """Calls a second at each proxy, the same for all, that let in this share of the route's calls."""
+        rates = sorted(v for (_, n), v in self.rates.items() if n == route)
+        if share >= 1 or not rates:
+            return UNLIMITED
+        left = share * sum(rates)
+        for i, rate in enumerate(rates):
+            if rate * (len(rates) - i) >= left:
+                return max(left / (len(rates) - i), 0.1)
+            left -= rate
+        return UNLIMITED
+
+    # The beat.
+
+    def timer_due(self, now: int, key: int) -> None:
+        self.look(now)
+        self.gauge(now)
+        if now >= self.solve_at:
+            self.solve_at = now + SOLVE_EVERY
+            self.solve(now)
+        self.host.after(BEAT, 0)
+
+    def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
+        """Not asked for yet."""
+
+    def peer_told(self, now: int, peer: int, data: bytes) -> None:
+        """Directors do not coordinate: what a peer says changes nothing."""
+
+    def slice_given(self, now: int, table: int, given: bool) -> None:
+        """Deployments with slices are not served."""
+
+    def slice_line(self, now: int, table: int, name: str, weight: float) -> None:
+        """Deployments with slices are not served."""
+
+    def slice_calls_came(self, now: int, table: int, route: str, calls: int, dropped: int, span: int) -> None:
+        """Deployments with slices are not served."""
