Levels steer to what reports show, against the levels of a lag ago

Now the admitted share steers to a share of cores in use (from reports, or cheap probes), to the share of calls answered, and to latency over SLO time, each set against the level in force one lag before. A crowded host (late answers, many dropped) is no longer sick, and the bar for sickness doubles under stress.

It should also hold for lost zones and bursts; it may hurt where load reports lie.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -29,10 +29,15 @@
 TRIAL = 0.25  # of its weight, for a host on trial
 TRIAL_CALLS = 4  # good answers that end a trial
 KEEP = 0.3  # share of the ready hosts that no judgement takes out
-TIGHT = 0.55  # latency over SLO time (and errors) from which calls are throttled
-EASY = 0.4  # under which levels rise again
+TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
+EASY = 0.4  # latency and drops under which judgements of single hosts need less
 CALM = 0.35  # under which a repeatable call may try twice
-RISE = 1.08  # of the admitted share, a step
+GOOD = 0.88  # of the hosts' cores in use, what levels steer to
+SLACK = 1.1  # levels fall under 1 only where demand passes what they steer to by this much
+RISE = 1.5  # the most that levels steer over what they were
+FALL_GAIN, RISE_GAIN = 0.5, 0.2  # of the way there, a beat
+PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
+FRESH = 5 * SECOND  # how long a load report counts
 FLOOR = 0.2  # least share of a route that is let in
 UNLIMITED = 1e6  # calls a second at a proxy: no limit
 
@@ -53,8 +58,8 @@
         for i, value in enumerate(values):
             self.sums[k][i] += value
 
-    def total(self, now: int) -> list[float]:
-        oldest = now // self.width - BUCKETS
+    def total(self, now: int, buckets: int = BUCKETS) -> list[float]:
+        oldest = now // self.width - buckets
         rows = [row for stamp, row in zip(self.stamps, self.sums, strict=True) if stamp > oldest]
         return [sum(column) for column in zip(*rows, strict=True)] if rows else [0.0] * self.fields
 
@@ -72,6 +77,7 @@
         self.usual = 0.0  # calls a second that it usually answers
         self.out_until, self.rest, self.trial = 0, REST, False  # sick: until then, then on trial
         self.sick = False
+        self.busy, self.busy_at, self.probe_at = 0.0, -1, 0
         self.withdrawn = False  # as ordered
 
 
@@ -102,7 +108,7 @@
         self.bound: dict[int, bool] = {}
         self.came = {r.name: Ring(self.width, 2) for r in facts.routes}  # calls and their reported time
         self.rates: dict[tuple[int, str], float] = {}  # calls a second of a route at a proxy
-        self.room, self.tightened, self.stress = 1.0, 0, 0.0
+        self.room, self.stress, self.rooms = 1.0, 0.0, [1.0] * 24  # rooms: by beat, a ring
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
         self.queue = 0
         self.moment: dict[int, int] = {}
@@ -315,6 +321,11 @@
         up = self.hosts.get(name)
         if up is not None:
             up.heard.add(now, tries, errors, latency * (tries - errors))
+            self.load_told(now, up, load)
+
+    def load_told(self, now: int, up: Upstream, load: dict[str, float]) -> None:
+        if "busy" in load:
+            up.busy, up.busy_at = load["busy"], now
 
     def look(self, now: int) -> None:
         """Takes out the hosts that fail where others do not; gives those that rested a trial."""
@@ -322,8 +333,13 @@
         sums = {name: up.heard.total(now) for name, up in ready}
         shares = [e / t for t, e, _ in sums.values() if t >= 3]
         usual = median(shares) if shares else 0.0
+        times = [s / (t - e) for t, e, s in sums.values() if t - e >= 2]
+        middle = median(times) if times else 0.0
+        bar = SICK_SHARE if self.stress < EASY else SICK_SHARE * 2
         for name, up in ready:
-            tries, errors, _ = sums[name]
+            tries, errors, spent = sums[name]
+            # a host that answers late and drops the rest is crowded, not sick: its weight falls instead
+            crowded = tries - errors >= 2 and spent / (tries - errors) > 1.5 * middle
             share = errors / tries if tries else 0.0
             sure = (share - usual) * math.sqrt(tries) > SICK_SIGMAS * math.sqrt(usual * (1 - usual) + 0.02)
             if up.sick:
@@ -336,7 +352,7 @@
                 elif tries - errors >= TRIAL_CALLS:
                     up.sick = False
                     self.host.log(f"{name} is back: {errors:.0f} of {tries:.0f} dropped")
-            elif errors >= 3 and share > usual + SICK_SHARE and sure and self.spared(up):
+            elif errors >= 3 and share > usual + bar and sure and not crowded and self.spared(up):
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
@@ -354,33 +370,43 @@
     def calls_came(self, now: int, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         if proxy in self.proxies and window > 0:
             self.came[route].add(now, calls, dropped)
-            self.rates[proxy, route] = calls * SECOND / window
+            rate = calls * SECOND / window
+            old = self.rates.get((proxy, route), rate)
+            # while throttled, a rise is taken for repeats of throttled calls and followed slowly
+            self.rates[proxy, route] = old + (rate - old) * (0.5 if self.room >= 1 or rate < old else 0.05)
 
     def gauge(self, now: int) -> None:
         """One figure of stress: answered calls' latency over their SLO time, and the share dropped."""
         tries = errors = spent = 0.0
         for up in self.hosts.values():
             if not up.sick:
-                t, e, s = up.heard.total(now)
+                t, e, s = up.heard.total(now, 2)
                 tries, errors, spent = tries + t, errors + e, spent + s
         mix = [(self.came[r.name].total(now)[0], r.slo_time) for r in self.facts.routes]
         calls = sum(n for n, _ in mix)
         if tries - errors < 1 or calls < 1:
             return
         slo = sum(n * aim for n, aim in mix) / calls
-        self.stress = spent / (tries - errors) / slo + errors / tries
+        late, good = spent / (tries - errors) / slo, (tries - errors) / tries
+        self.stress = late + 1 - good
+        loads = [
+            u.busy for u in self.hosts.values() if u.mode == "in_service" and 0 <= now - u.busy_at < FRESH
+        ]
+        busy = sum(loads) / len(loads) if loads else GOOD
+        # what is heard now answers to the levels of a while ago
+        then = self.rooms[(now - self.lag()) // BEAT % len(self.rooms)]
+        want = min(1.0, then * good * min(GOOD / max(busy, 0.1), TIGHT / late if late > TIGHT else RISE))
         was = self.room
-        if self.stress > TIGHT and now >= self.tightened + self.lag():
-            self.room = max(0.1, self.room * max(0.6, TIGHT / self.stress * 0.95))
-            self.tightened = now
-        elif self.stress < EASY and self.room < 1 and now >= self.tightened + self.lag():
-            self.room = min(1.0, self.room * RISE)
-            self.tightened = now - self.lag() // 2
+        if want * SLACK < self.room or self.room < 1:
+            self.room += (want - self.room) * (FALL_GAIN if want < self.room else RISE_GAIN)
+            self.room = 1.0 if self.room > 0.97 else max(self.room, 0.05)
         if (was < 1) != (self.room < 1):
-            self.host.log(f"throttling {'on' if self.room < 1 else 'off'}: stress {self.stress:.2f}")
+            mode = "on" if self.room < 1 else "off"
+            self.host.log(f"throttling {mode}: late {late:.2f}, good {good:.2f}, busy {busy:.2f}")
 
     def lag(self) -> int:
-        return self.width * 2 + self.facts.channel.late_most + SECOND
+        """From an order to the reports that show it."""
+        return self.facts.channel.late + self.width * 3 // 2 + SECOND
 
     def levels(self, table: Table) -> dict[int, tuple[int, float]]:
         routes, fleet = self.facts.routes, self.facts.fleet
@@ -423,13 +449,20 @@
     def timer_due(self, now: int, key: int) -> None:
         self.look(now)
         self.gauge(now)
+        self.rooms[now // BEAT % len(self.rooms)] = self.room
+        if self.facts.probes and self.facts.fleet.load_reports == "probe":
+            for name, up in self.hosts.items():
+                if up.mode == "in_service" and now >= up.probe_at:
+                    self.host.probe(name)
+                    up.probe_at = now + int(PROBE_EVERY * (0.5 + self.chance()))
         if now >= self.solve_at:
             self.solve_at = now + SOLVE_EVERY
             self.solve(now)
         self.host.after(BEAT, 0)
 
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
-        """Not asked for yet."""
+        if name in self.hosts:
+            self.load_told(now, self.hosts[name], load)
 
     def peer_told(self, now: int, peer: int, data: bytes) -> None:
         """Directors do not coordinate: what a peer says changes nothing."""
