--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -32,13 +32,17 @@
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 EASY = 0.4  # latency and drops under which judgements of single hosts need less
 CALM = 0.35  # under which a repeatable call may try twice
-GOOD = 0.88  # of the hosts' cores in use, what levels steer to
+GOOD = 0.88  # of the hosts' cores in use, what levels fall to
+LOW = 0.75  # and what they rise to: between the two they stay
+IDLE = 0.65  # of the cores in use, under which late and dropped calls are no sign of overload
 SLACK = 1.1  # levels fall under 1 only where demand passes what they steer to by this much
-RISE = 1.5  # the most that levels steer over what they were
+RISE = 2.0  # the most that levels steer over what they were
+CUT = 0.4  # the least that one step steers to, of what levels were
 FALL_GAIN, RISE_GAIN = 0.5, 0.2  # of the way there, a beat
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
-FLOOR = 0.2  # least share of a route that is let in
+REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
+FLOOR = 0.1  # least share of a route that is let in
 UNLIMITED = 1e6  # calls a second at a proxy: no limit
 
 
@@ -372,8 +376,10 @@
             self.came[route].add(now, calls, dropped)
             rate = calls * SECOND / window
             old = self.rates.get((proxy, route), rate)
-            # while throttled, a rise is taken for repeats of throttled calls and followed slowly
-            self.rates[proxy, route] = old + (rate - old) * (0.5 if self.room >= 1 or rate < old else 0.05)
+            # while throttled, clients that come again swell the count: it is followed slowly
+            self.rates[proxy, route] = old + (rate - old) * (
+                0.5 if self.room >= 1 else REPEATS * window / SECOND
+            )
 
     def gauge(self, now: int) -> None:
         """One figure of stress: answered calls' latency over their SLO time, and the share dropped."""
@@ -389,21 +395,27 @@
         slo = sum(n * aim for n, aim in mix) / calls
         late, good = spent / (tries - errors) / slo, (tries - errors) / tries
         self.stress = late + 1 - good
-        loads = [
-            u.busy for u in self.hosts.values() if u.mode == "in_service" and 0 <= now - u.busy_at < FRESH
-        ]
-        busy = sum(loads) / len(loads) if loads else GOOD
+        busy = max((self.busy(now, table) for table in self.tables), default=GOOD)
         # what is heard now answers to the levels of a while ago
         then = self.rooms[(now - self.lag()) // BEAT % len(self.rooms)]
-        want = min(1.0, then * good * min(GOOD / max(busy, 0.1), TIGHT / late if late > TIGHT else RISE))
+        want = GOOD / busy if busy > GOOD else max(LOW / busy, 1.0)
+        if busy > IDLE:  # else what is late or dropped is left over from before
+            want *= max(good, CUT) * min(1.0, TIGHT / late)
+        want = min(1.0, then * min(want, RISE))
         was = self.room
         if want * SLACK < self.room or self.room < 1:
             self.room += (want - self.room) * (FALL_GAIN if want < self.room else RISE_GAIN)
-            self.room = 1.0 if self.room > 0.97 else max(self.room, 0.05)
+            self.room = 1.0 if self.room > 0.97 else max(self.room, FLOOR)
         if (was < 1) != (self.room < 1):
             mode = "on" if self.room < 1 else "off"
             self.host.log(f"throttling {mode}: late {late:.2f}, good {good:.2f}, busy {busy:.2f}")
 
+    def busy(self, now: int, table: Table) -> float:
+        """The share of its hosts' cores in use, as far as reported lately, by weight in the table."""
+        fresh = {n: u.busy for n, u in self.hosts.items() if 0 <= now - u.busy_at < FRESH}
+        rows = [(weight, fresh[name]) for name, weight in table.sent.items() if name in fresh]
+        return max(sum(w * b for w, b in rows) / sum(w for w, _ in rows), 0.1) if rows else GOOD
+
     def lag(self) -> int:
         """From an order to the reports that show it."""
         return self.facts.channel.late + self.width * 3 // 2 + SECOND
