--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -37,6 +37,8 @@
 IDLE = 0.65  # of the cores in use, under which late and dropped calls are no sign of overload
 SLACK = 1.1  # levels fall under 1 only where demand passes what they steer to by this much
 RISE = 2.0  # the most that levels steer over what they were
+FADE = 0.01  # of the best rate answered lately, a beat
+DRAIN = 0.6  # of that rate, what is let in at least, so that a backlog drains
 CUT = 0.4  # the least that one step steers to, of what levels were
 FALL_GAIN, RISE_GAIN = 0.5, 0.2  # of the way there, a beat
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
@@ -67,6 +69,12 @@
         rows = [row for stamp, row in zip(self.stamps, self.sums, strict=True) if stamp > oldest]
         return [sum(column) for column in zip(*rows, strict=True)] if rows else [0.0] * self.fields
 
+    def rates(self, now: int) -> list[float]:
+        """A second, over the two buckets before this one."""
+        stamp = now // self.width
+        rows = [row for at, row in zip(self.stamps, self.sums, strict=True) if stamp - 2 <= at < stamp]
+        return [sum(row[i] for row in rows) / 2 * SECOND / self.width for i in range(self.fields)]
+
     def forget(self) -> None:
         self.stamps = [-1] * BUCKETS
 
@@ -113,6 +121,7 @@
         self.came = {r.name: Ring(self.width, 2) for r in facts.routes}  # calls and their reported time
         self.rates: dict[tuple[int, str], float] = {}  # calls a second of a route at a proxy
         self.room, self.stress, self.rooms = 1.0, 0.0, [1.0] * 24  # rooms: by beat, a ring
+        self.answered, self.best = Ring(self.width, 2), 0.0  # calls a second, now and at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
         self.queue = 0
         self.moment: dict[int, int] = {}
@@ -325,6 +334,7 @@
         up = self.hosts.get(name)
         if up is not None:
             up.heard.add(now, tries, errors, latency * (tries - errors))
+            self.answered.add(now, tries - errors, tries)
             self.load_told(now, up, load)
 
     def load_told(self, now: int, up: Upstream, load: dict[str, float]) -> None:
@@ -401,7 +411,12 @@
         want = GOOD / busy if busy > GOOD else max(LOW / busy, 1.0)
         if busy > IDLE:  # else what is late or dropped is left over from before
             want *= max(good, CUT) * min(1.0, TIGHT / late)
-        want = min(1.0, then * min(want, RISE))
+        # the fleet was seen to answer this much of what comes: a backlog must not push levels far under it,
+        # nor an idle moment over it
+        answered, tried = self.answered.rates(now)
+        self.best = max(self.best * (1 - FADE), answered)
+        fit = then * self.best / max(tried, 1.0)
+        want = min(1.0, max(DRAIN * fit, min(then * min(want, RISE), fit)))
         was = self.room
         if want * SLACK < self.room or self.room < 1:
             self.room += (want - self.room) * (FALL_GAIN if want < self.room else RISE_GAIN)
