--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -418,7 +418,7 @@
         fit = then * self.best / max(tried, 1.0)
         want = min(1.0, max(DRAIN * fit, min(then * min(want, RISE), fit)))
         was = self.room
-        if want * SLACK < self.room or self.room < 1:
+        if self.room < 1 or (busy > IDLE and want * SLACK < 1):
             self.room += (want - self.room) * (FALL_GAIN if want < self.room else RISE_GAIN)
             self.room = 1.0 if self.room > 0.97 else max(self.room, FLOOR)
         if (was < 1) != (self.room < 1):
