--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -183,10 +183,12 @@
         self.host.leave(proxy)
         self.director.proxy_left(self.now, proxy)
 
-    def hear(self, name: str, tries: int, errors: int, latency_ms: float) -> None:
+    def hear(self, name: str, tries: int, errors: int, latency_ms: float, busy: float = 0.5) -> None:
         window = self.host.terms.fleet.period
         zone = self.host.terms.zones[0]
-        self.director.hosts_heard(self.now, name, zone, tries, errors, int(latency_ms * 10), window, {})
+        self.director.hosts_heard(
+            self.now, name, zone, tries, errors, int(latency_ms * 10), window, {"busy": busy}
+        )
 
     def come(self, proxy: int, route: str, calls: int) -> None:
         self.director.calls_came(self.now, proxy, route, calls, 0, self.host.terms.fleet.period)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -87,7 +87,7 @@
     stage = started(Stage())
     for _ in range(12):
         for k in range(8):
-            stage.hear(f"h{k}", 20, 0, 700)
+            stage.hear(f"h{k}", 20, 0, 700, busy=1.0)
         for proxy in range(4):
             for route in ("read", "save", "book"):
                 stage.come(proxy, route, 10)
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -35,12 +35,13 @@
 GOOD = 0.88  # of the hosts' cores in use, what levels fall to
 LOW = 0.75  # and what they rise to: between the two they stay
 IDLE = 0.65  # of the cores in use, under which late and dropped calls are no sign of overload
-SLACK = 1.1  # levels fall under 1 only where demand passes what they steer to by this much
+SLACK = 1.15  # levels fall under 1 only where demand passes what they steer to by this much
 RISE = 2.0  # the most that levels steer over what they were
 FADE = 0.01  # of the best rate answered lately, a beat
 DRAIN = 0.6  # of that rate, what is let in at least, so that a backlog drains
+GROW = 1.15  # and over it, what is let in at most
 CUT = 0.4  # the least that one step steers to, of what levels were
-FALL_GAIN, RISE_GAIN = 0.5, 0.2  # of the way there, a beat
+FALL_GAIN, RISE_GAIN = 0.5, 0.35  # of the way there, a beat
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
@@ -416,7 +417,10 @@
         answered, tried = self.answered.rates(now)
         self.best = max(self.best * (1 - FADE), answered)
         fit = then * self.best / max(tried, 1.0)
-        want = min(1.0, max(DRAIN * fit, min(then * min(want, RISE), fit)))
+        want = then * min(want, RISE)
+        if tried > 0:  # nothing heard yet is no sign of anything
+            want = max(DRAIN * fit, min(want, fit * GROW))
+        want = min(1.0, want)
         was = self.room
         if self.room < 1 or (busy > IDLE and want * SLACK < 1):
             self.room += (want - self.room) * (FALL_GAIN if want < self.room else RISE_GAIN)
@@ -427,9 +431,10 @@
 
     def busy(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight in the table."""
+        unknown = GOOD if self.facts.fleet.load_reports == "none" else IDLE
         fresh = {n: u.busy for n, u in self.hosts.items() if 0 <= now - u.busy_at < FRESH}
         rows = [(weight, fresh[name]) for name, weight in table.sent.items() if name in fresh]
-        return max(sum(w * b for w, b in rows) / sum(w for w, _ in rows), 0.1) if rows else GOOD
+        return max(sum(w * b for w, b in rows) / sum(w for w, _ in rows), 0.1) if rows else unknown
 
     def lag(self) -> int:
         """From an order to the reports that show it."""
@@ -481,7 +486,8 @@
             for name, up in self.hosts.items():
                 if up.mode == "in_service" and now >= up.probe_at:
                     self.host.probe(name)
-                    up.probe_at = now + int(PROBE_EVERY * (0.5 + self.chance()))
+                    pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
+                    up.probe_at = now + int(pause * (0.5 + self.chance()))
         if now >= self.solve_at:
             self.solve_at = now + SOLVE_EVERY
             self.solve(now)
