Levels open past all that is known before throttling ends

Rates of calls are nearly held while throttling, so a release at the full known rate jumped to whatever had come meanwhile.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -45,6 +45,7 @@
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
+OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
 FLOOR = 0.1  # least share of a route that is let in
 UNLIMITED = 1e6  # calls a second at a proxy: no limit
 
@@ -121,7 +122,7 @@
         self.bound: dict[int, bool] = {}
         self.came = {r.name: Ring(self.width, 2) for r in facts.routes}  # calls and their reported time
         self.rates: dict[tuple[int, str], float] = {}  # calls a second of a route at a proxy
-        self.room, self.stress, self.rooms = 1.0, 0.0, [1.0] * 24  # rooms: by beat, a ring
+        self.room, self.stress, self.rooms = OPEN, 0.0, [OPEN] * 24  # rooms: by beat, a ring
         self.answered, self.best = Ring(self.width, 2), 0.0  # calls a second, now and at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
         self.queue = 0
@@ -389,7 +390,7 @@
             old = self.rates.get((proxy, route), rate)
             # while throttled, clients that come again swell the count: it is followed slowly
             self.rates[proxy, route] = old + (rate - old) * (
-                0.5 if self.room >= 1 else REPEATS * window / SECOND
+                0.5 if self.room >= OPEN else REPEATS * window / SECOND
             )
 
     def gauge(self, now: int) -> None:
@@ -408,25 +409,24 @@
         self.stress = late + 1 - good
         busy = max((self.busy(now, table) for table in self.tables), default=GOOD)
         # what is heard now answers to the levels of a while ago
-        then = self.rooms[(now - self.lag()) // BEAT % len(self.rooms)]
-        want = GOOD / busy if busy > GOOD else max(LOW / busy, 1.0)
-        if busy > IDLE:  # else what is late or dropped is left over from before
-            want *= max(good, CUT) * min(1.0, TIGHT / late)
-        # the fleet was seen to answer this much of what comes: a backlog must not push levels far under it,
-        # nor an idle moment over it
+        then = min(1.0, self.rooms[(now - self.lag()) // BEAT % len(self.rooms)])
         answered, tried = self.answered.rates(now)
         self.best = max(self.best * (1 - FADE), answered)
-        fit = then * self.best / max(tried, 1.0)
-        want = then * min(want, RISE)
-        if tried > 0:  # nothing heard yet is no sign of anything
-            want = max(DRAIN * fit, min(want, fit * GROW))
-        want = min(1.0, want)
+        fit = then * self.best / tried if tried > 0 else 1.0  # what would let in as much as was answered
+        # while cores idle, what is late or dropped is left over from before
+        ease = max(good, CUT) * min(1.0, TIGHT / late) if busy > IDLE else 1.0
         was = self.room
-        if self.room < 1 or (busy > IDLE and want * SLACK < 1):
-            self.room += (want - self.room) * (FALL_GAIN if want < self.room else RISE_GAIN)
-            self.room = 1.0 if self.room > 0.97 else max(self.room, FLOOR)
-        if (was < 1) != (self.room < 1):
-            mode = "on" if self.room < 1 else "off"
+        if busy > GOOD or ease * SLACK < 1:
+            # a backlog must not push levels far under what the fleet can do, unless nothing is in time
+            want = max(then * min(1.0, GOOD / busy) * ease, fit * (DRAIN if late < 1 else DRAIN / 2))
+            self.room = min(self.room, 1.0)
+            self.room += min(want - self.room, 0.0) * FALL_GAIN
+        elif busy < LOW and self.room < OPEN:
+            want = min(then * min(LOW / busy, RISE), fit * GROW)
+            self.room += max(want - self.room, 0.0) * RISE_GAIN
+        self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
+        if (was < OPEN) != (self.room < OPEN):
+            mode = "on" if self.room < OPEN else "off"
             self.host.log(f"throttling {mode}: late {late:.2f}, good {good:.2f}, busy {busy:.2f}")
 
     def busy(self, now: int, table: Table) -> float:
@@ -453,28 +453,31 @@
         for i, route in enumerate(order):
             keep = FLOOR * sum(demand[r.name] for r in order[i + 1 :])
             part = (left - keep) / demand[route.name] if demand[route.name] > 0 else 1.0
-            shares[route.name] = min(1.0, max(FLOOR, part)) if self.room < 1 else 1.0
+            shares[route.name] = max(FLOOR, part if route is order[-1] else min(part, 1.0))
             left -= shares[route.name] * demand[route.name]
         result = {}
         for k in table.routes:
-            tries = 2 if routes[k].semantics == "idempotent" and self.stress < CALM and self.room >= 1 else 1
-            level = shares[routes[k].name]
+            tries = (
+                2 if routes[k].semantics == "idempotent" and self.stress < CALM and self.room >= OPEN else 1
+            )
+            level = shares[routes[k].name] if self.room < OPEN else 1.0
             if fleet.admit == "rps":
-                level = self.allowance(routes[k].name, level)
+                last = routes[k] is order[-1] and self.room < OPEN
+                level = self.allowance(routes[k].name, level) if level < 1 or last else UNLIMITED
+            else:
+                level = min(level, 1.0)
             result[k] = (tries, level)
         return result
 
     def allowance(self, route: str, share: float) -> float:
         """Calls a second at each proxy, the same for all, that let in this share of the route's calls."""
         rates = sorted(v for (_, n), v in self.rates.items() if n == route)
-        if share >= 1 or not rates:
-            return UNLIMITED
         left = share * sum(rates)
         for i, rate in enumerate(rates):
             if rate * (len(rates) - i) >= left:
                 return max(left / (len(rates) - i), 0.1)
             left -= rate
-        return UNLIMITED
+        return max(rates[-1] * share, 0.1) if rates else UNLIMITED
 
     # The beat.
 
