Levels stay while reports stop, and calls that waited answer to older levels

It should also hold where a director is cut off from its reports; it may hurt where traffic falls to nothing while throttled (levels then stay until calls come again).

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -39,7 +39,7 @@
 RISE = 2.0  # the most that levels steer over what they were
 FADE = 0.01  # of the best rate answered lately, a beat
 DRAIN = 0.6  # of that rate, what is let in at least, so that a backlog drains
-GROW = 1.15  # and over it, what is let in at most
+GROW = 1.05  # and over it, what is let in at most
 CUT = 0.4  # the least that one step steers to, of what levels were
 FALL_GAIN, RISE_GAIN = 0.5, 0.35  # of the way there, a beat
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
@@ -409,10 +409,13 @@
         self.stress = late + 1 - good
         busy = max((self.busy(now, table) for table in self.tables), default=GOOD)
         # what is heard now answers to the levels of a while ago
-        then = min(1.0, self.rooms[(now - self.lag()) // BEAT % len(self.rooms)])
+        lag = min(self.lag() + int(spent / (tries - errors)), (len(self.rooms) - 1) * BEAT)
+        then = min(1.0, self.rooms[(now - lag) // BEAT % len(self.rooms)])
         answered, tried = self.answered.rates(now)
         self.best = max(self.best * (1 - FADE), answered)
-        fit = then * self.best / tried if tried > 0 else 1.0  # what would let in as much as was answered
+        if tried == 0:  # reports have stopped, or not begun: levels stay
+            return
+        fit = then * self.best / tried  # what would let in as much as was answered
         # while cores idle, what is late or dropped is left over from before
         ease = max(good, CUT) * min(1.0, TIGHT / late) if busy > IDLE else 1.0
         was = self.room
