--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -44,9 +44,11 @@
 FALL_GAIN, RISE_GAIN = 0.5, 0.35  # of the way there, a beat
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
+FIRST_CUT = 0.75  # what levels fall to at once: a backlog has built up since what is heard now
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
 FLOOR = 0.1  # least share of a route that is let in
+TIMED_OUT = 3  # a probe's outcome
 UNLIMITED = 1e6  # calls a second at a proxy: no limit
 
 
@@ -422,7 +424,7 @@
         if busy > GOOD or ease * SLACK < 1:
             # a backlog must not push levels far under what the fleet can do, unless nothing is in time
             want = max(then * min(1.0, GOOD / busy) * ease, fit * (DRAIN if late < 1 else DRAIN / 2))
-            self.room = min(self.room, 1.0)
+            self.room = min(self.room, FIRST_CUT)
             self.room += min(want - self.room, 0.0) * FALL_GAIN
         elif busy < LOW and self.room < OPEN:
             want = min(then * min(LOW / busy, RISE), fit * GROW)
@@ -501,7 +503,8 @@
 
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
         if name in self.hosts:
-            self.load_told(now, self.hosts[name], load)
+            # a probe that waits in line with the calls and times out tells of a full host
+            self.load_told(now, self.hosts[name], {"busy": 1.0} if outcome == TIMED_OUT else load)
 
     def peer_told(self, now: int, peer: int, data: bytes) -> None:
         """Directors do not coordinate: what a peer says changes nothing."""
