Where crossing zones is dear, each zone has a table and keeps its calls

Where the stated price of a crossing is high, a group of routes has a table a zone, all hosts in it; hosts elsewhere count less, as far as the zone's part of the weight covers its part of the calls, more when near hosts answer a quarter later, and fully while throttling. It may hurt where zones are very uneven and latency does not show it.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -24,7 +24,6 @@
 TUNING_RATE = 0.5  # of the channel's rate, the most that weights may use
 SICK_SHARE = 0.25  # errors above the fleet's usual share that make a host sick
 SICK_SIGMAS = 3.0  # and how sure that has to be
-SILENT_CALLS = 6.0  # calls that a host would have had by its usual rate, and none came back
 REST = 5 * SECOND  # a sick host's first time out; doubles with each relapse
 TRIAL = 0.25  # of its weight, for a host on trial
 TRIAL_CALLS = 4  # good answers that end a trial
@@ -45,6 +44,9 @@
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
 FIRST_CUT = 0.75  # what levels fall to at once: a backlog has built up since what is heard now
+NEAR_PRICE = 0.05  # for each call that crosses zones, from which a zone keeps its calls
+UNEVEN = 1.25  # near latency over far, from which more leaves a zone than weights say
+NEAR_MOST = 0.95  # of its calls, the most that a zone keeps, so that what is far stays known
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
 FLOOR = 0.1  # least share of a route that is let in
@@ -90,9 +92,8 @@
         self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
         self.heard = Ring(width, 3)  # tries, errors, time of the answered
         self.factor = 1.0  # what latency has made of its base weight
-        self.usual = 0.0  # calls a second that it usually answers
-        self.out_until, self.rest, self.trial = 0, REST, False  # sick: until then, then on trial
-        self.sick = False
+        self.latency = 0.0  # as last heard, or the median
+        self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
         self.busy, self.busy_at, self.probe_at = 0.0, -1, 0
         self.withdrawn = False  # as ordered
 
@@ -100,8 +101,10 @@
 class Table:
     """A shared table: the routes that may use the same hosts."""
 
-    def __init__(self, number: int, routes: list[int], like: Route) -> None:
+    def __init__(self, number: int, routes: list[int], like: Route, zone: str) -> None:
         self.number, self.routes, self.like = number, routes, like
+        self.zone = zone  # of its proxies, if it is for one
+        self.far, self.push = 1.0, 1.0  # what hosts elsewhere count there, and how much more than weights say
         self.mask = sum(1 << k for k in routes)
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
@@ -115,39 +118,43 @@
         self.width = max(facts.fleet.period, SECOND)
         self.hosts: dict[str, Upstream] = {}
         self.tables: list[Table] = []
-        groups: dict[tuple[tuple[str, ...], tuple[str, ...]], list[int]] = {}
+        near = facts.fleet.cross_zone_price >= NEAR_PRICE
+        groups: dict[tuple[object, ...], list[int]] = {}
         for k, route in enumerate(facts.routes):
-            groups.setdefault((route.kinds, route.zones), []).append(k)
-        for number, routes in enumerate(groups.values()):
-            self.tables.append(Table(number, routes, facts.routes[routes[0]]))
-        self.proxies: dict[int, float] = {}
+            for zone in facts.zones if near or route.own_zone else ("",):
+                groups.setdefault((route.kinds, route.zones, route.own_zone, zone), []).append(k)
+        for number, (key, routes) in enumerate(groups.items()):
+            self.tables.append(Table(number, routes, facts.routes[routes[0]], str(key[-1])))
+        self.proxies: dict[int, tuple[str, float]] = {}  # zone, usual calls a second
         self.bound: dict[int, bool] = {}
-        self.came = {r.name: Ring(self.width, 2) for r in facts.routes}  # calls and their reported time
-        self.rates: dict[tuple[int, str], float] = {}  # calls a second of a route at a proxy
+        self.came = {r.name: Ring(self.width, 1) for r in facts.routes}
+        self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.stress, self.rooms = OPEN, 0.0, [OPEN] * 24  # rooms: by beat, a ring
         self.answered, self.best = Ring(self.width, 2), 0.0  # calls a second, now and at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
-        self.queue = 0
-        self.moment: dict[int, int] = {}
+        self.queue, self.lost = 0, 0.0  # lost: lines to proxies that left, which may still wait
+        self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
         self.mark, self.tune_after = 0, 0
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
         self.send_after = now
         self.listing: dict[str, None] | None = None
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
-        self.solve_at, self.beat_at = now + SOLVE_EVERY, now + BEAT
+        self.solve_at = now + SOLVE_EVERY
         host.after(BEAT, 0)
 
     # Join, bind, fill, resend, solve, pace: the ordinary path.
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
-        self.proxies[proxy], self.bound[proxy] = rate, False
+        self.proxies[proxy] = (zone, rate)
+        self.bound[proxy] = False
         self.waiting[proxy] = []
 
     def proxy_left(self, now: int, proxy: int) -> None:
-        self.queue -= sum(lines for _, lines in self.waiting.pop(proxy, []))
-        for route in self.facts.routes:
-            self.rates.pop((proxy, route.name), None)
+        lines = sum(lines for _, lines in self.waiting.pop(proxy, []))
+        self.queue, self.lost = self.queue - lines, self.lost + lines
+        for book in self.rates.values():
+            book.pop(proxy, None)
         self.proxies.pop(proxy, None)
         self.bound.pop(proxy, None)
 
@@ -161,9 +168,9 @@
         self.guard(now)
         limit = self.facts.channel.most_waiting / 2
         for proxy, done in list(self.bound.items()):
-            cost = sum(2 + len(t.sent) + len(t.levels) for t in self.tables)
+            cost = sum(2 + len(t.sent) + len(t.levels) for t in self.tables_of(proxy))
             if not done and self.load() + cost < limit:
-                for table in self.tables:
+                for table in self.tables_of(proxy):
                     self.host.bind(proxy, table.number, table.mask)
                     table.stale = True
                 self.bound[proxy] = True
@@ -173,33 +180,36 @@
             for table in self.tables:
                 if self.load() < limit:
                     self.tune(now, table)
-            self.tune_after = now + BEAT + int((self.load() - before) / self.pace() * SECOND / TUNING_RATE)
+            pace = self.facts.channel.lines_per_s / SECOND * TUNING_RATE
+            self.tune_after = now + BEAT + int((self.load() - before) / pace)
         self.send(now)
 
     def tune(self, now: int, table: Table) -> None:
         """Sends the lines that moved, or all of them where a proxy was bound since."""
-        users = [p for p, done in self.bound.items() if done]
         for name, up in self.hosts.items():
             weight, old = self.weight(now, table, up), table.sent.get(name, 0.0)
-            if weight == 0.0 and old == 0.0:
-                continue
-            if table.stale or (weight == 0) != (old == 0) or abs(weight - old) > CHANGE * old:
-                self.line(table, name, weight, users)
+            if (table.stale and weight) or (weight == 0) != (old == 0) or abs(weight - old) > CHANGE * old:
+                self.line(table, name, weight)
         table.stale = False
         for k, (tries, level) in self.levels(table).items():
             before = table.levels.get(k)
             if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
                 self.host.allow(table.number, 1 << k, tries, level)
                 table.levels[k] = (tries, level)
-                self.charge(users, 1)
+                self.charge(self.users(table), 1)
+
+    def users(self, table: Table) -> list[int]:
+        return [p for p, done in self.bound.items() if done and table.zone in ("", self.proxies[p][0])]
+
+    def tables_of(self, proxy: int) -> list[Table]:
+        return [table for table in self.tables if table.zone in ("", self.proxies[proxy][0])]
 
-    def line(self, table: Table, name: str, weight: float, users: list[int]) -> None:
+    def line(self, table: Table, name: str, weight: float) -> None:
         self.host.line(table.number, name, weight)
-        self.charge(users, 1)
+        self.charge(self.users(table), 1)
+        table.sent.pop(name, None)
         if weight > 0:
             table.sent[name] = weight
-        else:
-            table.sent.pop(name, None)
 
     def solve(self, now: int) -> None:
         """A step of every weight towards listed weight x median latency / own latency."""
@@ -213,24 +223,49 @@
         middle = median(latency.values())
         for name, up in self.hosts.items():
             target = min(CLAMP, max(1 / CLAMP, middle / latency[name])) if latency.get(name) else 1.0
+            up.latency = latency.get(name, middle)
             up.factor += DAMPING * (target - up.factor)
+        for table in self.tables:
+            self.spill(now, table)
+
+    def spill(self, now: int, table: Table) -> None:
+        """Where crossing zones is dear, a zone keeps its calls as far as its part of the weight goes.
+
+        More leave while its hosts answer later than those elsewhere; under overload every host serves all.
+        """
+        table.far, sums = 1.0, [[0.0, 0.0], [0.0, 0.0]]  # weight, and weight by latency: near, elsewhere
+        for up in self.hosts.values():
+            side, weight = sums[up.zone != table.zone], self.weight(now, table, up)
+            side[0] += weight
+            side[1] += weight * up.latency
+        (near, near_late), (far, far_late) = sums
+        if table.zone and near and far and self.room >= OPEN:
+            rates = [rate for _, rate in self.proxies.values()] or [1.0]
+            unseen = max(self.facts.fleet.proxies - len(self.proxies), 0) * sum(rates) / len(rates)
+            own = sum(rate for zone, rate in self.proxies.values() if zone == table.zone)
+            calls = (own + unseen / len(self.facts.zones)) / (sum(rates) + unseen)
+            ratio = near_late / near * far / far_late if far_late else 1.0
+            table.push = min(20.0, max(1.0, table.push * min(2.0, max(0.7, (ratio / UNEVEN) ** 2))))
+            kept = min(NEAR_MOST, near / (near + far) / max(calls, 0.01))
+            table.far = min(1.0, table.push * near * (1 - kept) / (kept * far))
 
     def weight(self, now: int, table: Table, up: Upstream) -> float:
         if not self.open_to(table, up) or (up.sick and now < up.out_until):
             return 0.0
-        return up.size * up.factor * self.warmth(now, up) * (TRIAL if up.sick else 1.0)
+        far = table.far if table.zone and up.zone != table.zone else 1.0
+        return up.size * up.factor * self.warmth(now, up) * (TRIAL if up.sick else 1.0) * far
 
     def open_to(self, table: Table, up: Upstream) -> bool:
-        kinds, zones = table.like.kinds, table.like.zones
-        return up.mode == "in_service" and (not kinds or up.kind in kinds) and (not zones or up.zone in zones)
+        like = table.like
+        near = up.zone == table.zone or not like.own_zone
+        fits = (not like.kinds or up.kind in like.kinds) and (not like.zones or up.zone in like.zones)
+        return up.mode == "in_service" and near and fits
 
     # The channel: lines that no proxy has confirmed yet are taken to wait.
 
-    def pace(self) -> float:
-        return self.facts.channel.lines_per_s
-
     def load(self) -> float:
-        return self.queue + sum(self.moment.values()) + len(self.moment) * (self.facts.channel.head_lines + 1)
+        moment = sum(self.moment.values()) + len(self.moment) * (self.facts.channel.head_lines + 1)
+        return self.queue + self.lost + moment
 
     def charge(self, proxies: list[int], lines: int) -> None:
         for proxy in proxies:
@@ -267,18 +302,16 @@
             return
         for name, up in self.hosts.items():
             out = up.mode != "in_service"
-            if out and not up.withdrawn:
-                self.host.withdraw(name, True)
+            if out != up.withdrawn:
+                self.host.withdraw(name, out)
                 self.charge(everyone, 1)
                 for table in self.tables:
-                    if name in table.sent:
-                        self.line(table, name, 0.0, [p for p in everyone if self.bound[p]])
-            elif up.withdrawn and not out:
-                self.host.withdraw(name, False)
-                self.charge(everyone, 1)
+                    if out and name in table.sent:
+                        self.line(table, name, 0.0)
             up.withdrawn = out
         for table in self.tables:
             if not table.sent:  # a table is filled before any proxy is bound to it, and never left empty
+                self.spill(now, table)
                 self.tune(now, table)
 
     def list_began(self, now: int, whole: bool) -> None:
@@ -288,10 +321,10 @@
     def host_listed(
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
     ) -> None:
-        up = self.hosts.get(name)
-        if up is None:
-            up = self.hosts[name] = Upstream(self.width)
-            up.started = started if now - started >= self.facts.rules.cold else 0
+        if name not in self.hosts:
+            self.hosts[name] = Upstream(self.width)
+            self.hosts[name].started = started if now - started >= self.facts.rules.cold else 0
+        up = self.hosts[name]
         if started != up.started:  # a new process: nothing heard of the old one holds
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, REST
@@ -326,8 +359,7 @@
         age = now - up.started
         if not up.started or age >= rules.cold:
             return 1.0
-        grown = rules.start_capacity + (1 - rules.start_capacity) * max(age, 0) / rules.cold
-        return grown
+        return rules.start_capacity + (1 - rules.start_capacity) * max(age, 0) / rules.cold
 
     # Health: from the late sums of what the proxies met.
 
@@ -387,13 +419,12 @@
 
     def calls_came(self, now: int, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         if proxy in self.proxies and window > 0:
-            self.came[route].add(now, calls, dropped)
+            self.came[route].add(now, calls)
             rate = calls * SECOND / window
-            old = self.rates.get((proxy, route), rate)
+            old = self.rates[route].get(proxy, rate)
             # while throttled, clients that come again swell the count: it is followed slowly
-            self.rates[proxy, route] = old + (rate - old) * (
-                0.5 if self.room >= OPEN else REPEATS * window / SECOND
-            )
+            gain = 0.5 if self.room >= OPEN else REPEATS * window / SECOND
+            self.rates[route][proxy] = old + (rate - old) * gain
 
     def gauge(self, now: int) -> None:
         """One figure of stress: answered calls' latency over their SLO time, and the share dropped."""
@@ -437,8 +468,8 @@
     def busy(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight in the table."""
         unknown = GOOD if self.facts.fleet.load_reports == "none" else IDLE
-        fresh = {n: u.busy for n, u in self.hosts.items() if 0 <= now - u.busy_at < FRESH}
-        rows = [(weight, fresh[name]) for name, weight in table.sent.items() if name in fresh]
+        ups = [u for u in self.hosts.values() if self.open_to(table, u) and not u.sick]
+        rows = [(u.size * u.factor, u.busy) for u in ups if 0 <= now - u.busy_at < FRESH]
         return max(sum(w * b for w, b in rows) / sum(w for w, _ in rows), 0.1) if rows else unknown
 
     def lag(self) -> int:
@@ -446,47 +477,42 @@
         return self.facts.channel.late + self.width * 3 // 2 + SECOND
 
     def levels(self, table: Table) -> dict[int, tuple[int, float]]:
-        routes, fleet = self.facts.routes, self.facts.fleet
-        demand = {r.name: 0.0 for r in routes}
-        for route in routes:
-            demand[route.name] = (
-                sum(v for (_, n), v in self.rates.items() if n == route.name) * route.slo_time
-            )
+        routes = self.facts.routes
+        demand = {r.name: r.slo_time * sum(self.rates[r.name].values()) for r in routes}
         left = self.room * sum(demand.values())
         shares: dict[str, float] = {}
         order = sorted(routes, key=lambda r: -r.importance / r.slo_time)
         for i, route in enumerate(order):
             keep = FLOOR * sum(demand[r.name] for r in order[i + 1 :])
-            part = (left - keep) / demand[route.name] if demand[route.name] > 0 else 1.0
-            shares[route.name] = max(FLOOR, part if route is order[-1] else min(part, 1.0))
-            left -= shares[route.name] * demand[route.name]
+            part = max(FLOOR, (left - keep) / demand[route.name]) if demand[route.name] > 0 else OPEN
+            shares[route.name] = part if (part < 1 or route is order[-1]) and self.room < OPEN else OPEN
+            left -= min(part, 1.0) * demand[route.name]
         result = {}
         for k in table.routes:
-            tries = (
-                2 if routes[k].semantics == "idempotent" and self.stress < CALM and self.room >= OPEN else 1
+            calm = self.room >= OPEN and self.stress < CALM and routes[k].semantics == "idempotent"
+            share, by_rate = shares[routes[k].name], self.facts.fleet.admit == "rps"
+            result[k] = (
+                2 if calm else 1,
+                self.allowance(routes[k].name, share) if by_rate else min(share, 1.0),
             )
-            level = shares[routes[k].name] if self.room < OPEN else 1.0
-            if fleet.admit == "rps":
-                last = routes[k] is order[-1] and self.room < OPEN
-                level = self.allowance(routes[k].name, level) if level < 1 or last else UNLIMITED
-            else:
-                level = min(level, 1.0)
-            result[k] = (tries, level)
         return result
 
     def allowance(self, route: str, share: float) -> float:
         """Calls a second at each proxy, the same for all, that let in this share of the route's calls."""
-        rates = sorted(v for (_, n), v in self.rates.items() if n == route)
+        rates = sorted(self.rates[route].values())
         left = share * sum(rates)
+        if share >= OPEN or not rates:
+            return UNLIMITED
         for i, rate in enumerate(rates):
             if rate * (len(rates) - i) >= left:
                 return max(left / (len(rates) - i), 0.1)
             left -= rate
-        return max(rates[-1] * share, 0.1) if rates else UNLIMITED
+        return max(rates[-1] * share, 0.1)
 
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
+        self.lost = max(0.0, self.lost - self.facts.channel.lines_per_s * TUNING_RATE * BEAT / SECOND)
         self.look(now)
         self.gauge(now)
         self.rooms[now // BEAT % len(self.rooms)] = self.room
