Levels move at the pace of what reports show

A rise now takes one lag, a fall a third; throttling begins at 0.93 of the cores; the best rate answered follows rises smoothly and fades slower.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -31,16 +31,17 @@
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 EASY = 0.4  # latency and drops under which judgements of single hosts need less
 CALM = 0.35  # under which a repeatable call may try twice
-GOOD = 0.88  # of the hosts' cores in use, what levels fall to
+FULL = 0.93  # of the hosts' cores in use, from which throttling begins
+GOOD = 0.88  # what levels fall to
 LOW = 0.75  # and what they rise to: between the two they stay
 IDLE = 0.65  # of the cores in use, under which late and dropped calls are no sign of overload
 SLACK = 1.15  # levels fall under 1 only where demand passes what they steer to by this much
 RISE = 2.0  # the most that levels steer over what they were
-FADE = 0.01  # of the best rate answered lately, a beat
+GAIN, FADE = 0.3, 0.005  # how the best rate answered lately follows a rise, and fades, a beat
 DRAIN = 0.6  # of that rate, what is let in at least, so that a backlog drains
 GROW = 1.05  # and over it, what is let in at most
 CUT = 0.4  # the least that one step steers to, of what levels were
-FALL_GAIN, RISE_GAIN = 0.5, 0.35  # of the way there, a beat
+FALL_GAIN, RISE_GAIN = 3.0, 1.0  # of the way there, in the time from an order to what reports show
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
 FIRST_CUT = 0.75  # what levels fall to at once: a backlog has built up since what is heard now
@@ -129,7 +130,7 @@
         self.bound: dict[int, bool] = {}
         self.came = {r.name: Ring(self.width, 1) for r in facts.routes}
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
-        self.room, self.stress, self.rooms = OPEN, 0.0, [OPEN] * 24  # rooms: by beat, a ring
+        self.room, self.stress, self.rooms = OPEN, 0.0, [OPEN] * 32  # rooms: by beat, a ring
         self.answered, self.best = Ring(self.width, 2), 0.0  # calls a second, now and at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
         self.queue, self.lost = 0, 0.0  # lost: lines to proxies that left, which may still wait
@@ -442,24 +443,25 @@
         self.stress = late + 1 - good
         busy = max((self.busy(now, table) for table in self.tables), default=GOOD)
         # what is heard now answers to the levels of a while ago
-        lag = min(self.lag() + int(spent / (tries - errors)), (len(self.rooms) - 1) * BEAT)
-        then = min(1.0, self.rooms[(now - lag) // BEAT % len(self.rooms)])
+        lag = min(self.lag() + int(spent / (tries - errors)), (len(self.rooms) - 2) * BEAT)
+        ago = [self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)]
+        then, pace = min(1.0, sum(ago) / 3), BEAT / lag
         answered, tried = self.answered.rates(now)
-        self.best = max(self.best * (1 - FADE), answered)
+        self.best += max((answered - self.best) * GAIN, -self.best * FADE)
         if tried == 0:  # reports have stopped, or not begun: levels stay
             return
         fit = then * self.best / tried  # what would let in as much as was answered
         # while cores idle, what is late or dropped is left over from before
         ease = max(good, CUT) * min(1.0, TIGHT / late) if busy > IDLE else 1.0
         was = self.room
-        if busy > GOOD or ease * SLACK < 1:
+        if busy > (FULL if self.room >= OPEN else GOOD) or ease * SLACK < 1:
             # a backlog must not push levels far under what the fleet can do, unless nothing is in time
             want = max(then * min(1.0, GOOD / busy) * ease, fit * (DRAIN if late < 1 else DRAIN / 2))
             self.room = min(self.room, FIRST_CUT)
-            self.room += min(want - self.room, 0.0) * FALL_GAIN
+            self.room += min(want - self.room, 0.0) * min(FALL_GAIN * pace, 1.0)
         elif busy < LOW and self.room < OPEN:
             want = min(then * min(LOW / busy, RISE), fit * GROW)
-            self.room += max(want - self.room, 0.0) * RISE_GAIN
+            self.room += max(want - self.room, 0.0) * min(RISE_GAIN * pace, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
         if (was < OPEN) != (self.room < OPEN):
             mode = "on" if self.room < OPEN else "off"
@@ -515,7 +517,7 @@
         self.lost = max(0.0, self.lost - self.facts.channel.lines_per_s * TUNING_RATE * BEAT / SECOND)
         self.look(now)
         self.gauge(now)
-        self.rooms[now // BEAT % len(self.rooms)] = self.room
+        self.rooms[now // BEAT & 31] = self.room
         if self.facts.probes and self.facts.fleet.load_reports == "probe":
             for name, up in self.hosts.items():
                 if up.mode == "in_service" and now >= up.probe_at:
