Overload is met while it comes: a rise in load is followed ahead

A rise past 0.65 of the cores is followed ahead by half a lag, and begins throttling where it leads a tenth past full, not in the first seconds, when reports fill in. It hurts where a host lost makes load jump for a moment.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -41,7 +41,7 @@
 DRAIN = 0.6  # of that rate, what is let in at least, so that a backlog drains
 GROW = 1.05  # and over it, what is let in at most
 CUT = 0.4  # the least that one step steers to, of what levels were
-FALL_GAIN, RISE_GAIN = 3.0, 1.0  # of the way there, in the time from an order to what reports show
+FALL_GAIN, RISE_GAIN = 3.0, 1.5  # of the way there, in the time from an order to what reports show
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes
 FRESH = 5 * SECOND  # how long a load report counts
 FIRST_CUT = 0.75  # what levels fall to at once: a backlog has built up since what is heard now
@@ -50,6 +50,8 @@
 NEAR_MOST = 0.95  # of its calls, the most that a zone keeps, so that what is far stays known
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
+AHEAD = 0.5  # of the lag, how far a rise in load is followed ahead
+SOON = 1.1  # over full, by a rise followed ahead, from which throttling begins
 FLOOR = 0.1  # least share of a route that is let in
 TIMED_OUT = 3  # a probe's outcome
 UNLIMITED = 1e6  # calls a second at a proxy: no limit
@@ -131,6 +133,8 @@
         self.came = {r.name: Ring(self.width, 1) for r in facts.routes}
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.stress, self.rooms = OPEN, 0.0, [OPEN] * 32  # rooms: by beat, a ring
+        self.born = now
+        self.loads = [1.0] * 8  # busy, by beat
         self.answered, self.best = Ring(self.width, 2), 0.0  # calls a second, now and at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
         self.queue, self.lost = 0, 0.0  # lost: lines to proxies that left, which may still wait
@@ -442,6 +446,12 @@
         late, good = spent / (tries - errors) / slo, (tries - errors) / tries
         self.stress = late + 1 - good
         busy = max((self.busy(now, table) for table in self.tables), default=GOOD)
+        # load that rises will have risen further by the time an order shows
+        rise = busy - self.loads[(now // BEAT - 4) & 7]
+        self.loads[now // BEAT & 7] = busy
+        level = busy
+        if busy > IDLE and rise > 0 and now > self.born + 8 * BEAT:  # a first rise tells only of late reports
+            busy += rise * self.lag() * AHEAD / (4 * BEAT)
         # what is heard now answers to the levels of a while ago
         lag = min(self.lag() + int(spent / (tries - errors)), (len(self.rooms) - 2) * BEAT)
         ago = [self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)]
@@ -454,10 +464,11 @@
         # while cores idle, what is late or dropped is left over from before
         ease = max(good, CUT) * min(1.0, TIGHT / late) if busy > IDLE else 1.0
         was = self.room
-        if busy > (FULL if self.room >= OPEN else GOOD) or ease * SLACK < 1:
+        full, soon = (FULL, FULL * SOON) if self.room >= 1 else (GOOD, GOOD)
+        if level > full or busy > soon or ease * SLACK < 1:
             # a backlog must not push levels far under what the fleet can do, unless nothing is in time
             want = max(then * min(1.0, GOOD / busy) * ease, fit * (DRAIN if late < 1 else DRAIN / 2))
-            self.room = min(self.room, FIRST_CUT)
+            self.room = min(self.room, FIRST_CUT if level > full or ease * SLACK < 1 else 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * pace, 1.0)
         elif busy < LOW and self.room < OPEN:
             want = min(then * min(LOW / busy, RISE), fit * GROW)
