Under load, weights lean to hosts with idle cores

Past 0.65 of the cores, weights lean by the third power root or so of mean over own load, within 0.5 to 2, and lean back when load is gone. It hurts where load reports are very noisy.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -98,6 +98,7 @@
         self.latency = 0.0  # as last heard, or the median
         self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
         self.busy, self.busy_at, self.probe_at = 0.0, -1, 0
+        self.usual_busy, self.lean = 0.5, 1.0
         self.withdrawn = False  # as ordered
 
 
@@ -230,6 +231,13 @@
             target = min(CLAMP, max(1 / CLAMP, middle / latency[name])) if latency.get(name) else 1.0
             up.latency = latency.get(name, middle)
             up.factor += DAMPING * (target - up.factor)
+        for table in self.tables:  # the same latency may hide idle cores: under load, weights lean to them
+            mean = self.busy(now, table)
+            for up in self.hosts.values():
+                if self.open_to(table, up) and 0 <= now - up.busy_at < FRESH:
+                    lean = up.lean * (mean / max(up.usual_busy, 0.1)) ** 0.3 if mean > IDLE else up.lean**0.5
+                    up.lean = min(2.0, max(0.5, lean))
+            break
         for table in self.tables:
             self.spill(now, table)
 
@@ -258,7 +266,7 @@
         if not self.open_to(table, up) or (up.sick and now < up.out_until):
             return 0.0
         far = table.far if table.zone and up.zone != table.zone else 1.0
-        return up.size * up.factor * self.warmth(now, up) * (TRIAL if up.sick else 1.0) * far
+        return up.size * up.factor * up.lean * self.warmth(now, up) * (TRIAL if up.sick else 1.0) * far
 
     def open_to(self, table: Table, up: Upstream) -> bool:
         like = table.like
@@ -381,6 +389,7 @@
     def load_told(self, now: int, up: Upstream, load: dict[str, float]) -> None:
         if "busy" in load:
             up.busy, up.busy_at = load["busy"], now
+            up.usual_busy += 0.2 * (up.busy - up.usual_busy)
 
     def look(self, now: int) -> None:
         """Takes out the hosts that fail where others do not; gives those that rested a trial."""
