--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -435,8 +435,8 @@
         """Moves the room, the share of the calls' work that is let in, by latency, drops and load."""
         tries, errors, spent = 0.0, 0.0, 0.0
         for up in self.hosts.values():
-            if not up.sick:
-                t, e, s = up.heard.total(now, 2)
+            t, e, s = up.heard.total(now, 2)
+            if up.mode == "in_service" and not up.sick and t > e:  # what is gone or dead says nothing of load
                 tries, errors, spent = tries + t, errors + e, spent + s
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
         answered, tried = self.answered.total(now, 2, back=1)
@@ -450,7 +450,7 @@
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
         self.stress = late + 1 - good
         # load that rises will have risen further when an order shows; at first reports only fill in
-        soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 8 * BEAT else busy
+        soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 10 * BEAT else busy
         # what is heard now answers to the levels of a while ago
         lag = min(self.lag + int(mean), 30 * BEAT)
         then = min(1.0, sum(self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)) / 3)
