--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -47,7 +47,10 @@
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
 FALL_GAIN, RISE_GAIN, RISE = 3.0, 1.5, 2.0  # of the way there, in one lag; the most over what levels were
 GAIN, FADE = 0.3, 0.005  # how the best rate answered lately follows a rise, and fades, a beat
-DRAIN, GROW = 0.6, 1.05  # of that rate, the least and the most let in; half the least if nothing is in time
+DRAIN, GROW = (
+    0.6,
+    0.5,
+)  # of that rate, the least let in (half if nothing is in time); power of idleness over it
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
 FLOOR = 0.1  # least share of a route that is let in
@@ -464,7 +467,7 @@
             self.room = min(self.room, FIRST_CUT if full else 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
         elif soon < LOW and self.room < OPEN:
-            want = min(then * min(LOW / soon, RISE), fit * GROW)
+            want = min(then * min(LOW / soon, RISE), fit * (LOW / soon) ** GROW)
             self.room += max(want - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
         if (was < OPEN) != (self.room < OPEN):
