--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -50,7 +50,7 @@
 DRAIN, GROW = (
     0.6,
     0.5,
-)  # of that rate, the least let in (half if nothing is in time); power of idleness over it
+)  # of that rate, the least let in; power of idleness over it
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
 FLOOR = 0.1  # least share of a route that is let in
@@ -463,7 +463,7 @@
         full, was = busy > (FULL if self.room >= 1 else GOOD) or ease * SLACK < 1, self.room
         if full or soon > (SOON if self.room >= 1 else GOOD):
             # a backlog must not push levels far under what the fleet can do, unless nothing is in time
-            want = max(then * min(1.0, GOOD / soon) * ease, fit * (DRAIN if late < 1 else DRAIN / 2))
+            want = max(then * min(1.0, GOOD / soon) * ease, fit * DRAIN)
             self.room = min(self.room, FIRST_CUT if full else 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
         elif soon < LOW and self.room < OPEN:
