--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -47,10 +47,7 @@
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
 FALL_GAIN, RISE_GAIN, RISE = 3.0, 1.5, 2.0  # of the way there, in one lag; the most over what levels were
 GAIN, FADE = 0.3, 0.005  # how the best rate answered lately follows a rise, and fades, a beat
-DRAIN, GROW = (
-    0.6,
-    0.5,
-)  # of that rate, the least let in; power of idleness over it
+DRAIN, GROW = 0.6, 0.5  # of that rate, the least let in; over it, the power of idleness
 REPEATS = 0.005  # of the gap, a second, at which rates follow what comes while throttled
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
 FLOOR = 0.1  # least share of a route that is let in
