No cold host is used while hardly a try is answered

Cause: all other hosts had failed each proxy eight times in a row and were shunned; the newcomer got all calls. Where levels cannot act, nothing is tried again when all is late. It may hurt by keeping new capacity out of a collapse. Tests for this, cut zones, stopped reports and dear crossings.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -94,7 +94,56 @@
         stage.pass_time(SECOND)
     levels = stage.host.levels
     assert levels[0, 0] < 0.9 and levels[0, 0] < levels[0, 1] <= 1
-    assert any("throttling on" in text for text in stage.host.logs)
+    assert any(text.startswith("room 1.40 to") for text in stage.host.logs)
+
+
+def test_no_cold_host_is_used_while_hardly_a_try_is_answered() -> None:
+    """Proxies shun hosts that failed them many times in a row, and the one that has not yet got it all."""
+    stage = started(Stage())
+    for _ in range(6):
+        for k in range(7):
+            stage.hear(f"h{k}", 50, 48, 2000, busy=1.0)
+        for proxy in range(4):
+            stage.come(proxy, "read", 100)
+        stage.pass_time(SECOND)
+    stage.list({"h7": ("in_service", stage.now)}, whole=False)
+    stage.over()
+    assert "h7" not in stage.weights() and len(stage.weights()) >= 2
+
+
+def test_a_zone_that_misses_its_probes_gets_nothing_until_it_answers() -> None:
+    stage = started(Stage(facts(probes=True, fleet__load_reports="probe")))
+    for outcome, expected in ((3, 4), (0, 8)):
+        for _ in range(8):
+            for name in stage.host.probes:
+                far = int(name[1:]) % 2
+                stage.director.probe_done(stage.now, name, outcome if far else 0, 10, {})
+            stage.host.probes.clear()
+            stage.pass_time(SECOND)
+        assert len(stage.weights()) == expected
+    assert set(stage.weights(1)) == {"h1", "h3", "h5", "h7"}
+
+
+def test_levels_stay_while_reports_stop() -> None:
+    stage = started(Stage())
+    for second in range(14):
+        if second < 8:
+            for k in range(8):
+                stage.hear(f"h{k}", 20, 0, 900, busy=1.0)
+            for proxy in range(4):
+                stage.come(proxy, "read", 10)
+        stage.pass_time(SECOND)
+        if second == 10:
+            level = stage.host.levels[0, 0]
+    assert level < 1 and stage.host.levels[0, 0] == level
+
+
+def test_where_crossing_is_dear_a_zone_keeps_its_calls() -> None:
+    stage = started(Stage(facts(fleet__cross_zone_price=0.08)))
+    tables = {stage.host.bound[proxy][0] for proxy in stage.host.joined}
+    assert len(tables) == 2 and all(len(stage.weights(table)) == 8 for table in tables)
+    near = stage.weights(stage.host.bound[0][0])
+    assert near["h0"] > 5 * near["h1"] > 0
 
 
 def test_a_lost_list_is_asked_for_again() -> None:
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -32,12 +32,14 @@
 REST = 5 * SECOND  # a sick host's first time out; doubles with each relapse
 TRIAL = 0.25  # of its weight, for a host on trial
 TRIAL_CALLS = 4  # good answers that end a trial
+AGROUND = 0.25  # share of tries answered under which no cold host is used while there are others
 KEEP = 0.3  # share of a table's hosts that no judgement takes out
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY = 2 * SECOND  # where load is reported only to probes; half that at busy hosts
 FRESH = 5 * SECOND  # how long a load report counts
 CUT_SHARE = 0.7  # of a zone's hosts miss their probes: it is cut off
 EASY, CALM = 0.4, 0.35  # stress under which hosts are judged sooner, and repeatable calls may try twice
+HOPELESS = 1.0  # stress over which nothing is tried again where levels cannot act
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 FULL, SOON = 0.93, 1.02  # of the cores in use, now and as a rise leads, from which throttling begins
 GOOD, LOW = 0.88, 0.75  # what levels fall to and rise to: between the two they stay
@@ -121,7 +123,8 @@
         self.proxies: dict[int, tuple[str, float]] = {}  # zone, usual calls a second
         self.bound: dict[int, bool] = {}
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
-        self.room, self.stress, self.rooms = OPEN, 0.0, [OPEN] * 32  # the share let in; by beat, a ring
+        self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
+        self.stress, self.good = 0.0, 1.0  # of all hosts; the share of tries that are answered
         self.loads = [1.0] * 8  # cores in use, by beat
         self.answered, self.best = Ring(self.width, 2), 0.0  # answered and tried; answered at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
@@ -130,7 +133,7 @@
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
         self.mark, self.tune_after, self.send_after, self.solve_at = 0, 0, now, now + SOLVE_EVERY
-        self.listing: dict[str, None] | None = None
+        self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
 
@@ -221,17 +224,14 @@
             self.spill(now, table)
 
     def spill(self, now: int, table: Table) -> None:
-        """Where crossing zones is dear, a zone keeps its calls as far as its part of the weight goes.
-
-        More leave while its hosts answer later than those elsewhere; under overload every host serves all.
-        """
+        """Where crossing zones is dear, a zone keeps its calls as far as its weight and latency allow."""
         table.far, sums = 1.0, [[0.0, 0.0], [0.0, 0.0]]  # weight, and weight by latency: near, elsewhere
         for up in self.hosts.values():
             side, weight = sums[up.zone != table.zone], self.weight(now, table, up)
             side[0] += weight
             side[1] += weight * up.latency
         (near, near_late), (far, far_late) = sums
-        if table.zone and near and far and self.room >= OPEN:
+        if table.zone and near and far and self.room >= OPEN:  # under overload every host serves all
             rates = [rate for _, rate in self.proxies.values()] or [1.0]
             unseen = max(self.facts.fleet.proxies - len(self.proxies), 0) * sum(rates) / len(rates)
             own = sum(rate for zone, rate in self.proxies.values() if zone == table.zone)
@@ -307,8 +307,7 @@
                 self.tune(now, table)
 
     def list_began(self, now: int, whole: bool) -> None:
-        self.listing = {} if whole else None
-        self.backoff = SECOND
+        self.whole, self.listing, self.backoff = whole, [], SECOND
 
     def host_listed(
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
@@ -323,14 +322,11 @@
         if self.facts.weights in ("nominal", "rough"):
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
-        if self.listing is not None:
-            self.listing[name] = None
+        self.listing.append(name)
 
     def list_ended(self, now: int) -> None:
-        if self.listing is not None:
-            for name, up in self.hosts.items():
-                if name not in self.listing:
-                    up.mode = "terminated"
+        for name in self.hosts.keys() - set(self.listing) if self.whole else ():
+            self.hosts[name].mode = "terminated"  # in any order: nothing else happens here
         self.tune_after = now
 
     def list_lost(self, now: int) -> None:
@@ -344,7 +340,10 @@
     def warmth(self, now: int, up: Upstream) -> float:
         start, cold = self.facts.rules.start_capacity, self.facts.rules.cold
         age = max(now - up.started, 0)
-        return start + (1 - start) * age / cold if up.started and age < cold else 1.0
+        if not up.started or age >= cold:
+            return 1.0
+        # where hardly a try is answered proxies shun the hosts that failed them, and a cold one gets it all
+        return start + (1 - start) * age / cold if self.good > AGROUND else 0.0
 
     # Health: from the late sums of what the proxies met, and from probes where load is told only to them.
 
@@ -448,7 +447,7 @@
             return  # reports have stopped, or not begun: levels stay
         mean, good = spent / (tries - errors), (tries - errors) / tries
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
-        self.stress = late + 1 - good
+        self.stress, self.good = late + 1 - good, good
         # load that rises will have risen further when an order shows; at first reports only fill in
         soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 10 * BEAT else busy
         # what is heard now answers to the levels of a while ago
@@ -468,8 +467,9 @@
             self.room += max(want - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
         if (was < OPEN) != (self.room < OPEN):
-            mode = "on" if self.room < OPEN else "off"
-            self.host.log(f"throttling {mode}: late {late:.2f}, good {good:.2f}, busy {busy:.2f}")
+            self.host.log(
+                f"room {was:.2f} to {self.room:.2f}: late {late:.2f}, good {good:.2f}, busy {busy:.2f}"
+            )
 
     def load_of(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight."""
@@ -492,11 +492,9 @@
         result = {}
         for k in table.routes:
             calm = self.room >= OPEN and self.stress < CALM and routes[k].semantics == "idempotent"
+            tries = 2 if calm else 0 if self.stress > HOPELESS and self.facts.fleet.admit == "none" else 1
             share, by_rate = shares[routes[k].name], self.facts.fleet.admit == "rps"
-            result[k] = (
-                2 if calm else 1,
-                self.allowance(routes[k].name, share) if by_rate else min(share, 1.0),
-            )
+            result[k] = (tries, self.allowance(routes[k].name, share) if by_rate else min(share, 1.0))
         return result
 
     def allowance(self, route: str, share: float) -> float:
