Nothing heard yet is no proof that tries are answered

Until the first sums come no cold host is used while there are others. Cut zones also need near hosts to answer: deep probes time out everywhere in a jam, and zones flapped. It may hurt for the three or four seconds after a restart in the middle of a rolling deploy.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -124,7 +124,7 @@
         self.bound: dict[int, bool] = {}
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
-        self.stress, self.good = 0.0, 1.0  # of all hosts; the share of tries that are answered
+        self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
         self.loads = [1.0] * 8  # cores in use, by beat
         self.answered, self.best = Ring(self.width, 2), 0.0  # answered and tried; answered at best lately
         self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
@@ -410,7 +410,8 @@
         probed = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
         missed = {zone: [u.missed for u in probed if u.zone == zone] for zone in self.facts.zones}
         cuts = [zone for zone, m in missed.items() if len(m) > 1 and sum(m) > CUT_SHARE * len(m)]
-        if self.facts.zone in cuts or all(missed.get(self.facts.zone, [])):
+        near = missed.get(self.facts.zone, [])
+        if not near or sum(near) > (1 - CUT_SHARE) * len(near):
             cuts = []  # the trouble is here, or everywhere
         if cuts != self.cuts:
             self.host.log(f"zones cut off: {' '.join(cuts) or 'none'}, of {len(probed)} hosts probed")
