--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -33,8 +33,7 @@
 AGROUND = 0.5  # share of tries answered under which no cold host is used while there are others
 KEEP = 0.5  # share of a table's hosts that no judgement takes out
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
-PROBE_EVERY = 2 * SECOND  # where load is reported only to probes; half that at busy hosts
-FRESH = 5 * SECOND  # how long a load report counts
+PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
 CUT_SHARE = 0.7  # of a zone's hosts miss their probes: it is cut off
 EASY, CALM = 0.4, 0.35  # stress under which hosts are judged sooner, and repeatable calls may try twice
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
@@ -325,10 +324,9 @@
         self.tune_after = now
 
     def list_lost(self, now: int) -> None:
-        if self.facts.subscribe:
-            self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
-            self.listen_at = now + int(self.backoff * (0.5 + self.chance()))
-            self.backoff = min(2 * self.backoff, max(self.facts.rules.ask_every // 3, SECOND))
+        self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
+        self.listen_at = now + int(self.backoff * (0.5 + self.chance()))
+        self.backoff = min(2 * self.backoff, max(self.facts.rules.ask_every // 3, SECOND))
 
     # Ramp: a cold host's weight follows what it can do.
 
@@ -365,7 +363,7 @@
             up.usual_busy += 0.2 * (busy - up.usual_busy)
 
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
-        up = self.hosts[name]
+        up = self.hosts.get(name) or Upstream(self.width)  # of before a restart, it may be unknown
         up.missed = outcome in (TIMED_OUT, DOWN)
         # a probe that waits in line with the calls and times out tells of a full host, if calls are answered
         full = outcome == TIMED_OUT and up.zone not in self.cuts and up.heard.total(now, 2)[0] > 0
@@ -445,6 +443,8 @@
         busy = max(self.load_of(now, table) for table in self.tables)
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
+        if not self.stress and busy < GOOD and any(u.busy_at >= 0 for u in self.hosts.values()):
+            self.good = 1.0  # before the first sums, load that is told says as much
         if tries - errors < 1 or tried == 0 or not any(n for n, _ in calls):
             return  # reports have stopped, or not begun: levels stay
         mean, good = spent / (tries - errors), (tries - errors) / tries
