--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -496,7 +496,7 @@
             calm = self.room >= OPEN and self.stress < CALM and routes[k].semantics == "idempotent"
             share, by_rate = shares[routes[k].name], self.facts.fleet.admit == "rps"
             level = self.allowance(routes[k].name, share) if by_rate else min(share, 1.0)
-            result[k] = (2 if calm else 1, level)
+            result[k] = (2 if calm else 1 if self.room >= 1 else 0, level)
         return result
 
     def allowance(self, route: str, share: float) -> float:
