--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -131,6 +131,19 @@
     assert set(stage.weights(1)) == {"h1", "h3", "h5", "h7"}
 
 
+def test_no_cold_host_is_used_while_proxies_shun_what_a_cut_hid() -> None:
+    stage = started(Stage(facts(probes=True, fleet__load_reports="probe", fleet__strikes=8)))
+    for second in range(22):
+        for name in stage.host.probes:
+            cut = int(name[1:]) % 2 and second < 8
+            stage.director.probe_done(stage.now, name, 3 if cut else 0, 10, {"busy": 0.3})
+        stage.host.probes.clear()
+        if second == 9:
+            stage.list({"h6": ("in_service", stage.now)}, whole=False)
+        stage.pass_time(SECOND)
+        assert second in (15, 16, 17) or ("h6" in stage.weights()) == (second < 9 or second > 17)
+
+
 def test_levels_stay_while_reports_stop() -> None:
     stage = started(Stage())
     for second in range(14):
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -13,8 +13,7 @@
 
 from .host import Facts, Host, Route
 
-SECOND = 10_000  # times are whole tenths of a millisecond
-BEAT = 5_000  # between looks at health, ramps and levels
+SECOND, BEAT = 10_000, 5_000  # tenths of a millisecond; a beat is between looks at health and levels
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
 DAMPING = 0.5  # of the gap to the target, a step
 CLAMP = 2.0  # a target stays within this factor of its base
@@ -23,18 +22,16 @@
 TUNING_RATE = 0.5  # of the channel's rate, the most that weights may use
 BUCKETS = 4  # of heard time that a judgement rests on
 NEAR_PRICE = 0.05  # for each call that crosses zones, from which a zone keeps its calls
-NEAR_MOST = 0.95  # of its calls, the most that a zone keeps, so that what is far stays known
-UNEVEN = 1.25  # near latency over far, from which more leaves a zone than weights say
+NEAR_MOST, UNEVEN = 0.95, 1.25  # of its calls, the most it keeps; near latency over far from which fewer
 LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
 SICK_SHARE, SICK_SIGMAS = 0.25, 3.0  # errors above the better hosts', twice that under stress; how sure
 CROWDED = 1.5  # times the median latency: a host that late and dropping calls is crowded, not sick
 REST = 5 * SECOND  # a sick host's first time out; doubles with each relapse
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
-AGROUND = 0.5  # share of tries answered under which no cold host is used while there are others
-KEEP = 0.5  # share of a table's hosts that no judgement takes out
+SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
+KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
-CUT_SHARE = 0.7  # of a zone's hosts miss their probes: it is cut off
 EASY, CALM = 0.4, 0.35  # stress under which hosts are judged sooner, and repeatable calls may try twice
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 FULL, SOON = 0.93, 1.02  # of the cores in use, now and as a rise leads, from which throttling begins
@@ -108,6 +105,7 @@
         self.lag = facts.channel.late + self.width * 3 // 2 + SECOND
         self.hosts: dict[str, Upstream] = {}
         self.cuts: list[str] = []  # zones that cannot be reached from here
+        self.shunned = 0  # until then proxies may keep away from hosts that failed them
         groups: dict[tuple[object, ...], list[int]] = {}
         for k, route in enumerate(facts.routes):
             near = route.own_zone or facts.fleet.cross_zone_price >= NEAR_PRICE
@@ -336,7 +334,8 @@
         if not up.started or age >= cold:
             return 1.0
         # where hardly a try is answered proxies shun the hosts that failed them, and a cold one gets it all
-        return start + (1 - start) * age / cold if self.good > AGROUND else 0.0
+        held = self.good <= AGROUND or now < self.shunned
+        return 0.0 if held else start + (1 - start) * age / cold
 
     # Health: from the late sums of what the proxies met, and from probes where load is told only to them.
 
@@ -366,13 +365,13 @@
         up = self.hosts.get(name) or Upstream(self.width)  # of before a restart, it may be unknown
         up.missed = outcome in (TIMED_OUT, DOWN)
         # a probe that waits in line with the calls and times out tells of a full host, if calls are answered
-        full = outcome == TIMED_OUT and up.zone not in self.cuts and up.heard.total(now, 2)[0] > 0
-        self.load_told(now, up, 1.0 if full else load.get("busy"))
+        full = outcome == TIMED_OUT and (not self.stress or up.heard.total(now, 2)[0] > 0)
+        self.load_told(now, up, 1.0 if full and up.zone not in self.cuts else load.get("busy"))
 
     def look(self, now: int) -> None:
         """Takes out the hosts that fail where others do not; gives those that rested a trial."""
         ready = [(n, u, u.heard.total(now)) for n, u in self.hosts.items() if u.mode == "in_service"]
-        shares = sorted(e / t for _, _, (t, e, _) in ready if t >= 3)
+        shares = sorted(e / t for _, u, (t, e, _) in ready if t >= 3 and not u.sick)
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
         slow = CROWDED * median([s / (t - e) for _, _, (t, e, s) in ready if t - e >= 2] or [0.0])
         bar = usual + (SICK_SHARE if self.stress < EASY else SICK_SHARE * 2)
@@ -414,6 +413,7 @@
             cuts = []  # the trouble is here, or everywhere
         if cuts != self.cuts:
             self.host.log(f"zones cut off: {' '.join(cuts) or 'none'}, of {len(probed)} hosts probed")
+            self.shunned = now + SHUNNED if self.facts.fleet.strikes else 0
         self.cuts = cuts
         for up in probed:
             if up.zone in cuts:
@@ -443,7 +443,7 @@
         busy = max(self.load_of(now, table) for table in self.tables)
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
-        if not self.stress and busy < GOOD and any(u.busy_at >= 0 for u in self.hosts.values()):
+        if not self.stress and busy < IDLE and any(u.busy_at >= 0 for u in self.hosts.values()):
             self.good = 1.0  # before the first sums, load that is told says as much
         if tries - errors < 1 or tried == 0 or not any(n for n, _ in calls):
             return  # reports have stopped, or not begun: levels stay
