--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -131,6 +131,20 @@
     assert set(stage.weights(1)) == {"h1", "h3", "h5", "h7"}
 
 
+def test_tries_at_hosts_taken_out_count_against_cold_ones() -> None:
+    """What is left of a fleet may answer well while proxies, shunning it, drop nearly everything."""
+    stage = started(Stage())
+    for _ in range(8):
+        for k in range(6):
+            stage.hear(f"h{k}", 60 if k > 2 else 5, 58 if k > 2 else 0, 100, busy=0.3)
+        stage.come(0, "read", 100)
+        stage.pass_time(SECOND)
+    assert sum(up.sick for up in stage.director.hosts.values()) == 3
+    stage.list({"h7": ("in_service", stage.now)}, whole=False)
+    stage.over()
+    assert "h7" not in stage.weights()
+
+
 def test_no_cold_host_is_used_while_proxies_shun_what_a_cut_hid() -> None:
     stage = started(Stage(facts(probes=True, fleet__load_reports="probe", fleet__strikes=8)))
     for second in range(22):
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -35,8 +35,7 @@
 EASY, CALM = 0.4, 0.35  # stress under which hosts are judged sooner, and repeatable calls may try twice
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 FULL, SOON = 0.93, 1.02  # of the cores in use, now and as a rise leads, from which throttling begins
-GOOD, LOW = 0.88, 0.75  # what levels fall to and rise to: between the two they stay
-IDLE = 0.65  # under which late and dropped calls are no sign of overload
+GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
 AHEAD = 0.7  # of the lag, how far a rise in load is followed ahead
 SLACK = 1.15  # late and dropped calls count from this factor on
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
@@ -80,7 +79,7 @@
         self.factor, self.lean = 1.0, 1.0  # what latency and idle cores have made of its base weight
         self.latency = 0.0  # as last heard, or the median
         self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
-        self.busy, self.usual_busy, self.busy_at = 0.0, 0.5, -1  # cores in use, as last told and smoothed
+        self.busy, self.usual_busy, self.busy_at = 0.0, 0.5, -FRESH  # cores in use, as last told and smoothed
         self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
         self.withdrawn = False  # as ordered
 
@@ -213,7 +212,7 @@
             up.factor += DAMPING * (target - up.factor)
         mean = self.load_of(now, self.tables[0])
         for up in self.hosts.values():  # latency may hide idle cores: under load, weights lean to them
-            if 0 <= now - up.busy_at < FRESH:
+            if now - up.busy_at < FRESH:
                 lean = up.lean * (mean / max(up.usual_busy, 0.1)) ** LEAN if mean > IDLE else up.lean**0.5
                 up.lean = min(CLAMP, max(1 / CLAMP, lean))
         for table in self.tables:
@@ -449,7 +448,7 @@
             return  # reports have stopped, or not begun: levels stay
         mean, good = spent / (tries - errors), (tries - errors) / tries
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
-        self.stress, self.good = late + 1 - good, good
+        self.stress, self.good = late + 1 - good, min(good, answered / tried)
         # load that rises will have risen further when an order shows; at first reports only fill in
         soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 10 * BEAT else busy
         # what is heard now answers to the levels of a while ago
@@ -476,7 +475,8 @@
     def load_of(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight."""
         ups = [u for u in self.hosts.values() if self.open_to(table, u) and not u.sick]
-        rows = [(u.size * u.factor, u.busy) for u in ups if 0 <= now - u.busy_at < FRESH]
+        ups = [u for u in ups if now - u.busy_at < FRESH]
+        rows = [(u.size * u.factor * max(self.warmth(now, u), FLOOR), u.busy) for u in ups]
         unknown = GOOD if self.facts.fleet.load_reports == "none" else IDLE
         return max(sum(w * b for w, b in rows) / sum(w for w, _ in rows), 0.1) if rows else unknown
 
