--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -15,8 +15,7 @@
 
 SECOND, BEAT = 10_000, 5_000  # tenths of a millisecond; a beat is between looks at health and levels
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
-DAMPING = 0.5  # of the gap to the target, a step
-CLAMP = 2.0  # a target stays within this factor of its base
+DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
 CHANGE = 0.1  # a weight is sent when it moved by more than this share
 ENTRY = 0.5  # of the average weight, for a newly started host
 TUNING_RATE = 0.5  # of the channel's rate, the most that weights may use
@@ -36,15 +35,13 @@
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 FULL, SOON = 0.93, 1.02  # of the cores in use, now and as a rise leads, from which throttling begins
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
-AHEAD = 0.7  # of the lag, how far a rise in load is followed ahead
-SLACK = 1.15  # late and dropped calls count from this factor on
+AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
 FALL_GAIN, RISE_GAIN, RISE = 5.0, 4.0, 2.0  # of the way there, in one lag; the most over what levels were
 GAIN, FADE = 0.3, 0.005  # how the best rate answered lately follows a rise, and fades, a beat
 DRAIN, GROW = 0.6, 0.5  # of that rate, the least let in; over it, the power of idleness
 OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
-FLOOR = 0.1  # least share of a route that is let in
-UNLIMITED = 1e6  # calls a second at a proxy: no limit
+FLOOR, UNLIMITED = 0.1, 1e6  # least share of a route let in; calls a second at a proxy that limit nothing
 
 
 class Ring:
@@ -100,8 +97,7 @@
         self.host, self.facts, self.born = host, facts, now
         self.chance = random.Random(seed).random
         self.width = max(facts.fleet.period, SECOND)
-        # from an order to the reports that show it
-        self.lag = facts.channel.late + self.width * 3 // 2 + SECOND
+        self.lag = facts.channel.late + self.width * 3 // 2 + SECOND  # from an order to reports that show it
         self.hosts: dict[str, Upstream] = {}
         self.cuts: list[str] = []  # zones that cannot be reached from here
         self.shunned = 0  # until then proxies may keep away from hosts that failed them
@@ -240,7 +236,11 @@
         if not self.open_to(table, up) or (up.sick and now < up.out_until) or up.zone in self.cuts:
             return 0.0
         far = table.far if up.zone != table.zone else 1.0
-        return up.size * up.factor * up.lean * self.warmth(now, up) * (TRIAL if up.sick else 1.0) * far
+        warmth, learnt = self.warmth(now, up), up.factor * up.lean
+        learnt = (
+            min(learnt, 1.0) if warmth < 1 else learnt
+        )  # idle as it is, a cold host gets its ramp at most
+        return up.size * learnt * warmth * (TRIAL if up.sick else 1.0) * far
 
     def open_to(self, table: Table, up: Upstream) -> bool:
         like = table.like
