A director unsure after its start lets no cold host in until told that all is well

For eight seconds after a start cold hosts wait for told load under a half or first sums with little stress.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -131,6 +131,20 @@
     assert set(stage.weights(1)) == {"h1", "h3", "h5", "h7"}
 
 
+def test_a_director_started_into_a_jam_lets_no_cold_host_in() -> None:
+    stage = started(Stage(facts(fleet__strikes=8)))
+    stage.pass_time(SECOND)
+    stage.list({"h7": ("in_service", stage.now)}, whole=False)
+    stage.over()
+    for _ in range(9):
+        for k in range(7):
+            stage.hear(f"h{k}", 20, 4, 900, busy=0.8)
+        stage.come(0, "read", 10)
+        assert "h7" not in stage.weights() or stage.now >= 8 * SECOND
+        stage.pass_time(SECOND)
+    assert "h7" in stage.weights()
+
+
 def test_tries_at_hosts_taken_out_count_against_cold_ones() -> None:
     """What is left of a fleet may answer well while proxies, shunning it, drop nearly everything."""
     stage = started(Stage())
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -18,20 +18,17 @@
 DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
 CHANGE = 0.1  # a weight is sent when it moved by more than this share
 ENTRY = 0.5  # of the average weight, for a newly started host
-TUNING_RATE = 0.5  # of the channel's rate, the most that weights may use
-BUCKETS = 4  # of heard time that a judgement rests on
-NEAR_PRICE = 0.05  # for each call that crosses zones, from which a zone keeps its calls
-NEAR_MOST, UNEVEN = 0.95, 1.25  # of its calls, the most it keeps; near latency over far from which fewer
+TUNING_RATE, BUCKETS = 0.5, 4  # of the channel's rate, the most for weights; of time, what a judgement has
+NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near, the most kept, late over far
 LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
 SICK_SHARE, SICK_SIGMAS = 0.25, 3.0  # errors above the better hosts', twice that under stress; how sure
-CROWDED = 1.5  # times the median latency: a host that late and dropping calls is crowded, not sick
-REST = 5 * SECOND  # a sick host's first time out; doubles with each relapse
+CROWDED, REST = 1.5, 5 * SECOND  # times median latency: crowded, not sick; first time out, doubles on relapse
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
 SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
-EASY, CALM = 0.4, 0.35  # stress under which hosts are judged sooner, and repeatable calls may try twice
+EASY, CALM, JAMMED = 0.4, 0.35, 0.7  # stress: hosts judged sooner; repeatable calls tried twice; a bad start
 TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
 FULL, SOON = 0.93, 1.02  # of the cores in use, now and as a rise leads, from which throttling begins
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
@@ -100,7 +97,7 @@
         self.lag = facts.channel.late + self.width * 3 // 2 + SECOND  # from an order to reports that show it
         self.hosts: dict[str, Upstream] = {}
         self.cuts: list[str] = []  # zones that cannot be reached from here
-        self.shunned = 0  # until then proxies may keep away from hosts that failed them
+        self.shunned, self.unsure = 0, facts.fleet.strikes > 0  # proxies may keep away from hosts that failed
         groups: dict[tuple[object, ...], list[int]] = {}
         for k, route in enumerate(facts.routes):
             near = route.own_zone or facts.fleet.cross_zone_price >= NEAR_PRICE
@@ -333,7 +330,7 @@
         if not up.started or age >= cold:
             return 1.0
         # where hardly a try is answered proxies shun the hosts that failed them, and a cold one gets it all
-        held = self.good <= AGROUND or now < self.shunned
+        held = self.good <= AGROUND or now < max(self.shunned, self.unsure * (self.born + SHUNNED))
         return 0.0 if held else start + (1 - start) * age / cold
 
     # Health: from the late sums of what the proxies met, and from probes where load is told only to them.
@@ -442,13 +439,14 @@
         busy = max(self.load_of(now, table) for table in self.tables)
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
-        if not self.stress and busy < IDLE and any(u.busy_at >= 0 for u in self.hosts.values()):
-            self.good = 1.0  # before the first sums, load that is told says as much
+        if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
+            self.good, self.unsure = 1.0, False  # before the first sums, load that is told says as much
         if tries - errors < 1 or tried == 0 or not any(n for n, _ in calls):
             return  # reports have stopped, or not begun: levels stay
         mean, good = spent / (tries - errors), (tries - errors) / tries
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
+        self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
         # load that rises will have risen further when an order shows; at first reports only fill in
         soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 10 * BEAT else busy
         # what is heard now answers to the levels of a while ago
