--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -145,8 +145,17 @@
     assert "h7" in stage.weights()
 
 
+def test_the_last_hosts_used_are_warm_ones() -> None:
+    stage = started(Stage())
+    stage.pass_time(SECOND)
+    stage.list({f"h{k}": ("in_service", stage.now) for k in range(4)}, whole=False)
+    for up in list(stage.director.hosts.values())[4:]:
+        up.sick, up.out_until = True, 100 * SECOND
+    stage.pass_time(3 * SECOND)
+    assert set(stage.weights()) == {"h4", "h5", "h6", "h7"}
+
+
 def test_tries_at_hosts_taken_out_count_against_cold_ones() -> None:
-    """What is left of a fleet may answer well while proxies, shunning it, drop nearly everything."""
     stage = started(Stage())
     for _ in range(8):
         for k in range(6):
@@ -187,7 +196,6 @@
 
 
 def test_levels_do_not_rise_on_reports_far_behind() -> None:
-    """Reports that stop for six seconds and then come in order tell of six seconds ago."""
     stage = started(Stage())
     for second in range(24):
         for k in range(8) if not 7 < second < 14 else ():
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -16,8 +16,7 @@
 SECOND, BEAT = 10_000, 5_000  # tenths of a millisecond; a beat is between looks at health and levels
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
 DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
-CHANGE = 0.1  # a weight is sent when it moved by more than this share
-ENTRY = 0.5  # of the average weight, for a newly started host
+CHANGE, ENTRY = 0.1, 0.5  # share that a sent weight moved by; of the average, for a newly started host
 TUNING_RATE, BUCKETS = 0.5, 4  # of the channel's rate, the most for weights; of time, what a judgement has
 NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near, the most kept, late over far
 LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
@@ -29,16 +28,22 @@
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
 EASY, CALM, JAMMED = 0.4, 0.35, 0.7  # stress: hosts judged sooner; repeatable calls tried twice; a bad start
-TIGHT = 0.45  # latency over SLO time that levels steer to, where it is higher
-FULL, SOON = 0.93, 1.02  # of the cores in use, now and as a rise leads, from which throttling begins
+TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # late over SLO time; cores in use, now and as a rise leads: throttle
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
 AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
 FALL_GAIN, RISE_GAIN, RISE = 5.0, 4.0, 2.0  # of the way there, in one lag; the most over what levels were
-GAIN, FADE = 0.3, 0.005  # how the best rate answered lately follows a rise, and fades, a beat
-DRAIN, GROW = 0.6, 0.5  # of that rate, the least let in; over it, the power of idleness
-OPEN = 1.4  # the share from which nothing is throttled: what was held back may be more than is known
-FLOOR, UNLIMITED = 0.1, 1e6  # least share of a route let in; calls a second at a proxy that limit nothing
+GAIN, FADE, DRAIN, GROW = (
+    0.3,
+    0.005,
+    0.6,
+    0.5,
+)  # best rate answered: rise, fade a beat; least let in, power over
+OPEN, FLOOR, UNLIMITED = (
+    1.4,
+    0.1,
+    1e6,
+)  # room that throttles nothing; least share of a route; no limit, a second
 
 
 class Ring:
@@ -169,7 +174,9 @@
         """Sends the lines that moved, or all of them where a proxy was bound since."""
         weights = {name: self.weight(now, table, up) for name, up in self.hosts.items()}
         if not any(weights.values()):  # the last hosts left are used, however they fare
-            weights = {name: float(self.open_to(table, up)) for name, up in self.hosts.items()}
+            left = [name for name, up in self.hosts.items() if self.open_to(table, up)]
+            left = [name for name in left if not self.cold(now, self.hosts[name])] or left
+            weights = {name: float(name in left) for name in self.hosts}
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
             if (table.stale and weight) or (weight == 0) != (old == 0) or abs(weight - old) > CHANGE * old:
@@ -324,14 +331,16 @@
 
     # Ramp: a cold host's weight follows what it can do.
 
+    def cold(self, now: int, up: Upstream) -> bool:
+        return up.started > 0 and now - up.started < self.facts.rules.cold
+
     def warmth(self, now: int, up: Upstream) -> float:
-        start, cold = self.facts.rules.start_capacity, self.facts.rules.cold
-        age = max(now - up.started, 0)
-        if not up.started or age >= cold:
+        if not self.cold(now, up):
             return 1.0
         # where hardly a try is answered proxies shun the hosts that failed them, and a cold one gets it all
         held = self.good <= AGROUND or now < max(self.shunned, self.unsure * (self.born + SHUNNED))
-        return 0.0 if held else start + (1 - start) * age / cold
+        start, grown = self.facts.rules.start_capacity, max(now - up.started, 0) / self.facts.rules.cold
+        return 0.0 if held else start + (1 - start) * grown
 
     # Health: from the late sums of what the proxies met, and from probes where load is told only to them.
 
@@ -401,7 +410,10 @@
 
     def find_cuts(self, now: int) -> None:
         """Hosts of a zone that miss their probes together, while near ones answer, cannot be reached."""
-        probed = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
+        ready = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
+        probed = [
+            u for u in ready if not self.cold(now, u)
+        ]  # those just started answer whatever the rest does
         missed = {zone: [u.missed for u in probed if u.zone == zone] for zone in self.facts.zones}
         cuts = [zone for zone, m in missed.items() if len(m) > 1 and sum(m) > CUT_SHARE * len(m)]
         near = missed.get(self.facts.zone, [])
