--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -17,33 +17,24 @@
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
 DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
 CHANGE, ENTRY = 0.1, 0.5  # share that a sent weight moved by; of the average, for a newly started host
-TUNING_RATE, BUCKETS = 0.5, 4  # of the channel's rate, the most for weights; of time, what a judgement has
-NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near, the most kept, late over far
+TUNING_RATE, BUCKETS = 0.5, 4  # of the channel's rate, the most for weights; of time, for a judgement
+NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near; most kept; late over far
 LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
 SICK_SHARE, SICK_SIGMAS = 0.25, 3.0  # errors above the better hosts', twice that under stress; how sure
-CROWDED, REST = 1.5, 5 * SECOND  # times median latency: crowded, not sick; first time out, doubles on relapse
+CROWDED, REST = 1.5, 5 * SECOND  # times median latency: crowded, not sick; first time out, then doubled
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
 SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
-EASY, CALM, JAMMED = 0.4, 0.35, 0.7  # stress: hosts judged sooner; repeatable calls tried twice; a bad start
-TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # late over SLO time; cores in use, now and as a rise leads: throttle
+EASY, CALM, JAMMED = 0.4, 0.35, 0.7  # stress: hosts judged sooner; repeatable calls try twice; a bad start
+TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late over SLO time; cores in use, now and as they rise
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
 AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
 FALL_GAIN, RISE_GAIN, RISE = 5.0, 4.0, 2.0  # of the way there, in one lag; the most over what levels were
-GAIN, FADE, DRAIN, GROW = (
-    0.3,
-    0.005,
-    0.6,
-    0.5,
-)  # best rate answered: rise, fade a beat; least let in, power over
-OPEN, FLOOR, UNLIMITED = (
-    1.4,
-    0.1,
-    1e6,
-)  # room that throttles nothing; least share of a route; no limit, a second
+GAIN, FADE, DRAIN, GROW = 0.3, 0.005, 0.6, 0.5  # best rate answered: rise, fade; least let in, power over it
+OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
 class Ring:
