--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""A fake host: holds what was ordered and says which rule an order breaks."""
+"""A fake host: holds what was ordered.  It lacks the orders that are never given: fetch, clear, tell."""
 
 from __future__ import annotations
 
@@ -52,19 +52,10 @@
     def watch(self, on: bool) -> None:
         self.watched += on
 
-    def fetch(self) -> None:
-        raise AssertionError("the list is watched, not fetched")
-
     def probe(self, host: str) -> None:
         assert self.terms.probes
         self.probes.append(host)
 
-    def tell(self, peer: int | None, data: bytes) -> None:
-        raise AssertionError("directors do not coordinate")
-
-    def clear(self, table: int) -> None:
-        raise AssertionError("a table is never cleared")
-
     def _reaches(self, table: int) -> list[int]:
         return [p for p, book in self.bound.items() if table in book.values()]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -101,7 +101,6 @@
 
 
 def test_no_cold_host_is_used_while_hardly_a_try_is_answered() -> None:
-    """Proxies shun hosts that failed them many times in a row, and the one that has not yet got it all."""
     stage = started(Stage())
     stage.pass_time(SECOND)
     stage.list({"h6": ("in_service", stage.now)}, whole=False)
@@ -145,6 +144,17 @@
     assert "h7" in stage.weights()
 
 
+def test_hosts_on_trial_do_not_make_those_in_use_look_sick() -> None:
+    stage = started(Stage())
+    for up in list(stage.director.hosts.values())[:3]:
+        up.sick = True
+    for second in range(3):
+        for k in range(8):
+            stage.hear(f"h{k}", 30 if k > 2 else 3 if second == 0 else 0, 18 if k > 2 else 0, 100)
+        stage.pass_time(SECOND)
+    assert not any(up.sick for up in list(stage.director.hosts.values())[3:])
+
+
 def test_the_last_hosts_used_are_warm_ones() -> None:
     stage = started(Stage())
     stage.pass_time(SECOND)
