Tidying: one cost of a message, one pace, one test of whom a table serves

The cost of a message and the pace of tuning were each written twice, so was the test whether a table is for a proxy; sums for spilling were made for tables that have no zone; whether to probe was asked once a host. Comments the formatter had moved stand where they belong, and one that no longer held is put right.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -91,6 +91,7 @@
         self.chance = random.Random(seed).random
         self.width = max(facts.fleet.period, SECOND)
         self.lag = facts.channel.late + self.width * 3 // 2 + SECOND  # from an order to reports that show it
+        self.probing = facts.probes and facts.fleet.load_reports == "probe"
         self.hosts: dict[str, Upstream] = {}
         self.cuts: list[str] = []  # zones that cannot be reached from here
         self.shunned, self.unsure = 0, facts.fleet.strikes > 0  # proxies may keep away from hosts that failed
@@ -115,6 +116,8 @@
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
+        self.head = int(facts.channel.head_lines) + 1  # lines that a message costs, its mark with it
+        self.pace = facts.channel.lines_per_s * TUNING_RATE / SECOND  # lines a tick that tuning may use
         self.mark, self.tune_after, self.send_after, self.solve_at = 0, 0, now, now + SOLVE_EVERY
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
@@ -144,7 +147,7 @@
         self.guard(now)
         limit = self.facts.channel.most_waiting / 2
         for proxy in [p for p, done in self.bound.items() if not done]:
-            tables = [t for t in self.tables if t.zone in ("", self.proxies[proxy][0])]
+            tables = [t for t in self.tables if self.serves(t, proxy)]
             cost = sum(2 + len(t.sent) + len(t.levels) for t in tables)
             if self.load() + cost < limit:
                 for table in tables:
@@ -157,8 +160,7 @@
             for table in self.tables:
                 if self.load() < limit:
                     self.tune(now, table)
-            pace = self.facts.channel.lines_per_s / SECOND * TUNING_RATE
-            self.tune_after = now + BEAT + int((self.load() - before) / pace)
+            self.tune_after = now + BEAT + int((self.load() - before) / self.pace)
         self.send(now)
 
     def tune(self, now: int, table: Table) -> None:
@@ -181,7 +183,10 @@
                 self.charge(self.users(table), 1)
 
     def users(self, table: Table) -> list[int]:
-        return [p for p, done in self.bound.items() if done and table.zone in ("", self.proxies[p][0])]
+        return [p for p, done in self.bound.items() if done and self.serves(table, p)]
+
+    def serves(self, table: Table, proxy: int) -> bool:
+        return table.zone in ("", self.proxies[proxy][0])
 
     def line(self, table: Table, name: str, weight: float) -> None:
         self.host.line(table.number, name, weight)
@@ -211,13 +216,15 @@
 
     def spill(self, now: int, table: Table) -> None:
         """Where crossing zones is dear, a zone keeps its calls as far as its weight and latency allow."""
+        if not table.zone:
+            return
         table.far, sums = 1.0, [[0.0, 0.0], [0.0, 0.0]]  # weight, and weight by latency: near, elsewhere
         for up in self.hosts.values():
             side, weight = sums[up.zone != table.zone], self.weight(now, table, up)
             side[0] += weight
             side[1] += weight * up.latency
         (near, near_late), (far, far_late) = sums
-        if table.zone and near and far and self.room >= OPEN:  # under overload every host serves all
+        if near and far and self.room >= OPEN:  # under overload every host serves all
             rates = [rate for _, rate in self.proxies.values()] or [1.0]
             unseen = max(self.facts.fleet.proxies - len(self.proxies), 0) * sum(rates) / len(rates)
             own = sum(rate for zone, rate in self.proxies.values() if zone == table.zone)
@@ -232,9 +239,7 @@
             return 0.0
         far = table.far if up.zone != table.zone else 1.0
         warmth, learnt = self.warmth(now, up), up.factor * up.lean
-        learnt = (
-            min(learnt, 1.0) if warmth < 1 else learnt
-        )  # idle as it is, a cold host gets its ramp at most
+        learnt = min(learnt, 1.0) if warmth < 1 else learnt  # idle as it is, a cold host has its ramp only
         return up.size * learnt * warmth * (TRIAL if up.sick else 1.0) * far
 
     def open_to(self, table: Table, up: Upstream) -> bool:
@@ -246,7 +251,7 @@
     # The channel: lines that no proxy has confirmed yet are taken to wait.
 
     def load(self) -> float:
-        moment = sum(self.moment.values()) + len(self.moment) * (self.facts.channel.head_lines + 1)
+        moment = sum(self.moment.values()) + len(self.moment) * self.head
         return self.queue + self.lost + moment
 
     def charge(self, proxies: list[int], lines: int) -> None:
@@ -260,7 +265,7 @@
         self.mark = (self.mark + 1) % 65536
         self.host.mark(self.mark, False)
         for proxy, lines in self.moment.items():
-            whole = lines + int(self.facts.channel.head_lines) + 1
+            whole = lines + self.head
             self.waiting[proxy].append((self.mark, whole))
             self.queue += whole
         self.moment.clear()
@@ -277,7 +282,7 @@
     # Rules first: what the list says of draining, gone and new hosts.
 
     def guard(self, now: int) -> None:
-        most = len(self.proxies) * (self.facts.channel.head_lines + 2 + len(self.tables))
+        most = len(self.proxies) * (self.head + 1 + len(self.tables))
         for name, up in self.hosts.items():
             out = up.mode != "in_service"
             if out != up.withdrawn and self.load() + most <= self.facts.channel.most_waiting:
@@ -328,7 +333,7 @@
     def warmth(self, now: int, up: Upstream) -> float:
         if not self.cold(now, up):
             return 1.0
-        # where hardly a try is answered proxies shun the hosts that failed them, and a cold one gets it all
+        # in a jam and after a cut proxies shun the hosts that failed them, and a cold one gets it all
         held = self.good <= AGROUND or now < max(self.shunned, self.unsure * (self.born + SHUNNED))
         start, grown = self.facts.rules.start_capacity, max(now - up.started, 0) / self.facts.rules.cold
         return 0.0 if held else start + (1 - start) * grown
@@ -336,16 +341,9 @@
     # Health: from the late sums of what the proxies met, and from probes where load is told only to them.
 
     def hosts_heard(
-        self,
-        now: int,
-        name: str,
-        zone: str,
-        tries: int,
-        errors: int,
-        mean: int,
-        span: int,
+        self, now: int, name: str, zone: str, tries: int, errors: int, mean: int, span: int,
         load: dict[str, float],
-    ) -> None:
+    ) -> None:  # fmt: skip
         up = self.hosts.get(name)
         if up is not None and now >= up.deaf_until:
             up.heard.add(now, tries, errors, mean * (tries - errors))
@@ -402,9 +400,8 @@
     def find_cuts(self, now: int) -> None:
         """Hosts of a zone that miss their probes together, while near ones answer, cannot be reached."""
         ready = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
-        probed = [
-            u for u in ready if not self.cold(now, u)
-        ]  # those just started answer whatever the rest does
+        # those just started answer whatever the rest does
+        probed = [u for u in ready if not self.cold(now, u)]
         missed = {zone: [u.missed for u in probed if u.zone == zone] for zone in self.facts.zones}
         cuts = [zone for zone, m in missed.items() if len(m) > 1 and sum(m) > CUT_SHARE * len(m)]
         near = missed.get(self.facts.zone, [])
@@ -460,7 +457,7 @@
         ease = max(good, CUT) * min(1.0, TIGHT / late) if soon > IDLE or self.room >= OPEN else 1.0
         full, was = busy > (FULL if self.room >= 1 else GOOD) or ease * SLACK < 1, self.room
         if full or soon > (SOON if self.room >= 1 else GOOD):
-            # a backlog must not push levels far under what the fleet can do, unless nothing is in time
+            # a backlog must not push levels far under what the fleet can do
             want = max(then * min(1.0, GOOD / soon) * ease, fit * DRAIN)
             self.room = min(self.room, FIRST_CUT if full else 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
@@ -515,14 +512,13 @@
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
-        self.lost = max(0.0, self.lost - self.facts.channel.lines_per_s * TUNING_RATE * BEAT / SECOND)
+        self.lost = max(0.0, self.lost - self.pace * BEAT)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
         self.rooms[now // BEAT & 31] = self.room
         for name, up in self.hosts.items():
-            wanted = self.facts.probes and self.facts.fleet.load_reports == "probe"
-            if wanted and up.mode == "in_service" and now >= up.probe_at:
+            if self.probing and up.mode == "in_service" and now >= up.probe_at:
                 self.host.probe(name)
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
