The adapter guards the module's methods, not its own decoding

A malformed value in an event was decoded inside the guard and given in as the module's fault; the wire wants one plain message and an end. Values are decoded first now, and one guard serves starts, events, lists and the moment's end; the second guard is gone. A malformed number is a case of the adapter's tests. The fake host lost a field nobody read.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -96,7 +96,6 @@
         self.number = number
 
     def sent(self) -> None:
-        """What was ordered in this moment enters the channel, a message for each proxy concerned."""
         for proxy, lines in self.moment.items():
             self.queue += lines + self.terms.channel.head_lines + 1
             self.messages.setdefault(proxy, []).append(self.now)
@@ -111,12 +110,9 @@
 
 
 class Stage:
-    """A director before a fake host, and a clock."""
-
     def __init__(self, terms: Facts = FACTS, seed: int = 1) -> None:
         self.host = FakeHost(terms)
         self.director = Director(self.host, terms, seed, 0)
-        self.serial = 0
 
     @property
     def now(self) -> int:
@@ -132,8 +128,8 @@
         while True:
             due = min((t for t, _ in self.host.timers), default=end + 1)
             at = min(due, end)
-            rate = self.host.terms.channel.lines_per_s * speed
-            self.host.queue = max(0.0, self.host.queue - rate * (at - self.now) / SECOND)
+            drained = self.host.terms.channel.lines_per_s * speed * (at - self.now) / SECOND
+            self.host.queue = max(0.0, self.host.queue - drained)
             self.host.now = at
             if self.host.queue <= 0:
                 marks, self.host.marks = self.host.marks, []
@@ -175,8 +171,7 @@
         self.director.proxy_left(self.now, proxy)
 
     def hear(self, name: str, tries: int, errors: int, latency_ms: float, busy: float = 0.5) -> None:
-        window = self.host.terms.fleet.period
-        zone = self.host.terms.zones[0]
+        window, zone = self.host.terms.fleet.period, self.host.terms.zones[0]
         self.director.hosts_heard(
             self.now, name, zone, tries, errors, int(latency_ms * 10), window, {"busy": busy}
         )
@@ -185,5 +180,4 @@
         self.director.calls_came(self.now, proxy, route, calls, 0, self.host.terms.fleet.period)
 
     def weights(self, table: int = 0) -> dict[str, float]:
-        """What a bound proxy can pick from."""
         return {h: w for h, w in self.host.lines.get(table, {}).items() if not self.host.out.get(h)}
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -11,6 +11,8 @@
 from willowhook.benchlink import link
 from willowhook.benchlink.units import load_report, number, seconds, ticks
 
+MORE_BAD = ["ROSTER_CHANGE\t3\t1\t0\tnews", "REGISTER\t0\tx"]
+BAD = ["WHAT\t3", "DIGEST\t3\t1", "REMINDER\t9\t0", "REMINDER\t3\tx", *MORE_BAD]
 OPTIONS = json.dumps(json.loads((Path(__file__).parent / "options.json").read_text()))
 START = [
     "CLOCK\t8.41225\t1",
@@ -71,9 +73,7 @@
     assert (code, errors) == (0, "") and out.endswith("READY\t2\n")
 
 
-@pytest.mark.parametrize(
-    "line", ["WHAT\t3", "DIGEST\t3\t1", "REMINDER\t9\t0", "ROSTER_CHANGE\t3\t1\t0\tnews", "REGISTER\t0\tx"]
-)
+@pytest.mark.parametrize("line", BAD)
 def test_a_malformed_line_ends_the_link_with_one_plain_message(line: str) -> None:
     code, _, errors = play(*START, "CLOCK\t9.0\t2", line)
     assert code == 1 and errors.count("\n") == 1 and line in errors
--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -8,12 +8,14 @@
 from collections.abc import Callable, Iterable
 from typing import TextIO
 
+from ..host import Facts
 from ..rules import Director
 from .facts import read_facts
 from .units import load_report, number, seconds, ticks
 
 LIST_FORMS = frozenset(("incr", "total", "warm_copy", "lost"))
 HOST_MODES = frozenset(("in_service", "terminating", "terminated"))
+ListRow = tuple[str, str, int, str, float, str, str]  # as `host_listed` takes it
 
 
 class WireError(Exception):
@@ -118,7 +120,7 @@
             director = self._directors.get(parts[1])
             if director is not None:
                 self._touched[parts[1]] = None
-                self._guard(parts[1], call, director, parts)
+                call(director, parts)
             elif parts[1] not in self._broken:
                 raise WireError(f"instance {parts[1]} has had no HELLO")
         elif name == "CLOCK":
@@ -134,7 +136,7 @@
             self._broken.discard(who)
             self._directors.pop(who, None)
             self._touched[who] = None
-            self._guard_start(who, lambda: Director(orders, facts, int(seed), self._now))
+            self._guard(who, self._start, who, orders, facts, int(seed))
         elif name == "TEARDOWN":
             self._directors.pop(parts[1], None)
             self._touched.pop(parts[1], None)
@@ -152,28 +154,22 @@
         for who in list(self._touched):
             director = self._directors.get(who)
             if director is not None:
-                self._guard(who, lambda one, _: one.moment_over(self._now), director, [])
+                self._guard(who, director.moment_over, self._now)
         self._touched.clear()
         self._reply.append(f"READY\t{self._batch}\n")
         self._sink.write("\n".join(self._reply))
         self._sink.flush()
         self._reply.clear()
 
-    def _guard(
-        self, who: str, call: Callable[[Director, list[str]], None], director: Director, parts: list[str]
-    ) -> None:
+    def _guard(self, who: str, method: Callable[..., None], *values: object) -> None:
+        """Calls the module.  Values are decoded before: a malformed line is never taken for its fault."""
         try:
-            call(director, parts)
-        except WireError:
-            raise
+            method(*values)
         except Exception as fault:  # the module broke: said on the wire, never hidden
             self._give_in(who, fault)
 
-    def _guard_start(self, who: str, start: Callable[[], Director]) -> None:
-        try:
-            self._directors[who] = start()
-        except Exception as fault:
-            self._give_in(who, fault)
+    def _start(self, who: str, orders: Orders, facts: Facts, seed: int) -> None:
+        self._directors[who] = Director(orders, facts, seed, self._now)
 
     def _give_in(self, who: str, fault: Exception) -> None:
         traceback.print_exception(fault, file=self._errors)
@@ -183,53 +179,61 @@
         self._broken.add(who)
 
     def _digest(self, director: Director, p: list[str]) -> None:
-        director.hosts_heard(
-            self._now, p[5], p[6], int(p[4]), int(p[2]), ticks(p[7]), ticks(p[3]), load_report(p[8])
-        )
+        values = (p[5], p[6], int(p[4]), int(p[2]), ticks(p[7]), ticks(p[3]), load_report(p[8]))
+        self._guard(p[1], director.hosts_heard, self._now, *values)
 
     def _ingress(self, director: Director, p: list[str]) -> None:
-        director.calls_came(self._now, int(p[5]), p[6], int(p[3]), int(p[2]), ticks(p[4]))
+        values = (int(p[5]), p[6], int(p[3]), int(p[2]), ticks(p[4]))
+        self._guard(p[1], director.calls_came, self._now, *values)
 
     def _heat(self, director: Director, p: list[str]) -> None:
-        director.slice_calls_came(self._now, int(p[2]), p[3], int(p[4]), int(p[5]), ticks(p[6]))
+        values = (int(p[2]), p[3], int(p[4]), int(p[5]), ticks(p[6]))
+        self._guard(p[1], director.slice_calls_came, self._now, *values)
 
     def _confirmed(self, director: Director, p: list[str]) -> None:
-        director.mark_answered(self._now, int(p[3]), int(p[2]), ticks(p[4]))
+        self._guard(p[1], director.mark_answered, self._now, int(p[3]), int(p[2]), ticks(p[4]))
 
     def _reminder(self, director: Director, p: list[str]) -> None:
-        director.timer_due(self._now, int(p[2]))
+        self._guard(p[1], director.timer_due, self._now, int(p[2]))
 
     def _probe_done(self, director: Director, p: list[str]) -> None:
-        director.probe_done(self._now, p[2], int(p[3]), ticks(p[4]), load_report(p[5]))
+        self._guard(
+            p[1], director.probe_done, self._now, p[2], int(p[3]), ticks(p[4]), load_report(p[5])
+        )  # fmt: skip
 
     def _attached(self, director: Director, p: list[str]) -> None:
-        director.proxy_joined(self._now, int(p[2]), p[3], float(p[4]), p[5] == "1")
+        self._guard(p[1], director.proxy_joined, self._now, int(p[2]), p[3], float(p[4]), p[5] == "1")
 
     def _disconnected(self, director: Director, p: list[str]) -> None:
-        director.proxy_left(self._now, int(p[2]))
+        self._guard(p[1], director.proxy_left, self._now, int(p[2]))
 
     def _inbox(self, director: Director, p: list[str]) -> None:
-        director.peer_told(self._now, int(p[2]), b"" if p[3] == "-" else base64.b64decode(p[3]))
+        data = b"" if p[3] == "-" else base64.b64decode(p[3])
+        self._guard(p[1], director.peer_told, self._now, int(p[2]), data)
 
     def _leased(self, director: Director, p: list[str]) -> None:
-        director.slice_given(self._now, int(p[2]), p[3] == "1")
+        self._guard(p[1], director.slice_given, self._now, int(p[2]), p[3] == "1")
 
     def _standing_line(self, director: Director, p: list[str]) -> None:
-        director.slice_line(self._now, int(p[3]), p[2], float(p[4]))
+        self._guard(p[1], director.slice_line, self._now, int(p[3]), p[2], float(p[4]))
 
     def _roster_change(self, director: Director, p: list[str]) -> None:
         form = p[4]
         if form not in LIST_FORMS:
             raise WireError(f"unknown list form {form!r}")
         if form == "lost":
-            director.list_lost(self._now)
+            self._guard(p[1], director.list_lost, self._now)
             return
         if p[3] not in self._sheets:
             raise WireError(f"no REGISTER {p[3]}")
-        director.list_began(self._now, form != "incr")
+        rows: list[ListRow] = []
         for _, host, mode, started, cell, size, kind, zone in self._sheets[p[3]]:
-            director.host_listed(
-                self._now, host, mode, 0 if started == "-" else ticks(started),
-                cell, 1.0 if size == "-" else float(size), kind, zone,
-            )  # fmt: skip
+            since, share = 0 if started == "-" else ticks(started), 1.0 if size == "-" else float(size)
+            rows.append((host, mode, since, cell, share, kind, zone))
+        self._guard(p[1], self._hand_list, director, form != "incr", rows)
+
+    def _hand_list(self, director: Director, whole: bool, rows: list[ListRow]) -> None:
+        director.list_began(self._now, whole)
+        for row in rows:
+            director.host_listed(self._now, *row)
         director.list_ended(self._now)
