The channel is modelled at its stated rate; tables go out in steps, most urgent first

Lines waiting are now reckoned at the stated rate, unanswered messages past their time on top; binds and lines go one by one up to a limit that leaves a withdrawal half of the grace; hosts in or out and levels first, then weights by how far they moved, at a pace that costs at most 0.01 of the result, then lines owed to a resend. Should also catch: a slow or stalled channel. May hurt: where the channel is faster than stated.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -17,7 +17,8 @@
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
 DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
 CHANGE, ENTRY = 0.1, 0.5  # share that a sent weight moved by; of the average, for a newly started host
-TUNING_RATE, BUCKETS = 0.5, 4  # of the channel's rate, the most for weights; of time, for a judgement
+TUNING_RATE, TUNING_COST = 0.5, 0.01  # of the channel's rate, the most; of the result, the most for weights
+BUCKETS, MOVED = 4, 9.0  # of time, for a judgement; a move of weight that counts as in or out
 NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near; most kept; late over far
 LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
 SICK_SHARE, SICK_SIGMAS = 0.25, 3.0  # errors above the better hosts', twice that under stress; how sure
@@ -82,7 +83,7 @@
         self.far, self.push = 1.0, 1.0  # what hosts elsewhere count there, and how much more than weights say
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
-        self.stale = False  # a proxy was bound since the table last went out whole
+        self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
 
 
 class Director:
@@ -103,7 +104,10 @@
         sorts = enumerate(groups.items())
         self.tables = [Table(n, ks, facts.routes[ks[0]], str(key[-1])) for n, (key, ks) in sorts]
         self.proxies: dict[int, tuple[str, float]] = {}  # zone, usual calls a second
-        self.bound: dict[int, bool] = {}
+        self.bound: dict[int, None] = {}
+        self.joined: dict[
+            int, tuple[int, float]
+        ] = {}  # to be bound: those that wait longest, then the busiest
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
         self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
@@ -111,14 +115,23 @@
         self.told: dict[tuple[int, str], int] = {}  # reported time, by proxy and route
         self.told_to, self.behind = 0, 0  # the most of it, and how far reports have fallen behind
         self.answered, self.best = Ring(self.width, 2), 0.0  # answered and tried; answered at best lately
-        self.waiting: dict[int, list[tuple[int, int]]] = {}  # the channel: lines by proxy, not yet confirmed
-        self.queue, self.lost = 0, 0.0  # lost: lines to proxies that left, which may still wait
+        # the channel: lines that wait at its stated rate, and those of messages whose answer is overdue
+        self.queue, self.overdue, self.drained_at = 0.0, 0.0, now
+        self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
         self.head = int(facts.channel.head_lines) + 1  # lines that a message costs, its mark with it
-        self.pace = facts.channel.lines_per_s * TUNING_RATE / SECOND  # lines a tick that tuning may use
-        self.mark, self.tune_after, self.send_after, self.solve_at = 0, 0, now, now + SOLVE_EVERY
+        self.rate = facts.channel.lines_per_s / SECOND
+        self.pace = (
+            self.rate * TUNING_RATE
+        )  # lines a tick that all tables may use, and weights, by their price
+        self.tuning = min(self.pace, self.rate * TUNING_COST / max(facts.channel.order_price, TUNING_COST))
+        self.mark, self.order_after, self.tune_after, self.send_after = 0, 0, 0, now
+        self.solve_at, self.shifted = (
+            now + SOLVE_EVERY,
+            list[str](),
+        )  # hosts whose withdrawal is to be ordered
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -126,71 +139,87 @@
     # Join, bind, fill, resend, solve, pace: the ordinary path.
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
-        self.proxies[proxy], self.bound[proxy], self.waiting[proxy] = (zone, rate), False, []
+        self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
+        self.joined[proxy] = (now // SECOND, -rate)
 
     def proxy_left(self, now: int, proxy: int) -> None:
-        lines = sum(lines for _, lines in self.waiting.pop(proxy, []))
-        self.queue, self.lost = self.queue - lines, self.lost + lines
         for book in self.rates.values():
             book.pop(proxy, None)
         self.told.clear()
-        self.proxies.pop(proxy, None)
-        self.bound.pop(proxy, None)
+        for known in (self.proxies, self.bound, self.joined, self.waiting):
+            known.pop(proxy, None)
 
     def moment_over(self, now: int) -> None:
-        """Gives the orders of this moment: those that keep rules first, then binds, resends, tuning."""
+        """Gives the orders of this moment: those that keep rules first, then binds, then tables."""
         if 0 <= self.listen_at <= now:
             self.host.watch(True)
             self.listen_at = -1
         if now < self.send_after:
             return
+        self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
+        self.drained_at = now
         self.guard(now)
-        limit = self.facts.channel.most_waiting / 2
-        for proxy in [p for p, done in self.bound.items() if not done]:
-            tables = [t for t in self.tables if self.serves(t, proxy)]
-            cost = sum(2 + len(t.sent) + len(t.levels) for t in tables)
-            if self.load() + cost < limit:
-                for table in tables:
-                    self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
-                    table.stale = True
-                self.bound[proxy] = True
-                self.charge([proxy], cost)
-        if now >= self.tune_after and self.load() < limit / 2:
+        limit = self.limit()
+        for proxy in sorted(self.joined, key=self.joined.__getitem__):
+            if self.load() >= limit:
+                break
+            for table in [t for t in self.tables if self.serves(t, proxy)]:
+                self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
+                self.charge([proxy], 2 + len(table.sent) + len(table.levels))
+                table.owed = dict.fromkeys(table.sent)
+            self.bound[proxy] = None
+            del self.joined[proxy]
+        if now >= self.order_after and self.load() < limit / 2:
             before = self.load()
             for table in self.tables:
-                if self.load() < limit:
-                    self.tune(now, table)
-            self.tune_after = now + BEAT + int((self.load() - before) / self.pace)
+                self.tune(now, table, limit)
+            spent = self.load() - before
+            self.order_after = now + BEAT + int(spent / self.pace)
+            if now >= self.tune_after:
+                self.tune_after = now + int(spent / self.tuning)
         self.send(now)
 
-    def tune(self, now: int, table: Table) -> None:
-        """Sends the lines that moved, or all of them where a proxy was bound since."""
+    def tune(self, now: int, table: Table, limit: float) -> None:
+        """Sends levels and hosts in or out, then as the price allows lines that moved, then those owed."""
+        users = self.users(table)
+        for k, (tries, level) in self.levels(table).items():
+            before = table.levels.get(k)
+            if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
+                self.host.allow(table.number, 1 << k, tries, level)
+                table.levels[k] = (tries, level)
+                self.charge(users, 1)
+        for moved, name, weight in sorted(self.moves(now, table), reverse=True):
+            if users and self.load() >= (
+                limit if moved >= MOVED else limit / 2 if now >= self.tune_after else 0
+            ):
+                break
+            self.line(table, users, name, weight)
+
+    def moves(self, now: int, table: Table) -> list[tuple[float, str, float]]:
+        """The lines worth sending, with how far each moved."""
         weights = {name: self.weight(now, table, up) for name, up in self.hosts.items()}
         if not any(weights.values()):  # the last hosts left are used, however they fare
             left = [name for name, up in self.hosts.items() if self.open_to(table, up)]
             left = [name for name in left if not self.cold(now, self.hosts[name])] or left
             weights = {name: float(name in left) for name in self.hosts}
+        found = []
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
-            if (table.stale and weight) or (weight == 0) != (old == 0) or abs(weight - old) > CHANGE * old:
-                self.line(table, name, weight)
-        table.stale = False
-        for k, (tries, level) in self.levels(table).items():
-            before = table.levels.get(k)
-            if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
-                self.host.allow(table.number, 1 << k, tries, level)
-                table.levels[k] = (tries, level)
-                self.charge(self.users(table), 1)
+            moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
+            if moved > CHANGE or (name in table.owed and weight):
+                found.append((moved, name, weight))
+        return found
 
     def users(self, table: Table) -> list[int]:
-        return [p for p, done in self.bound.items() if done and self.serves(table, p)]
+        return [p for p in self.bound if self.serves(table, p)]
 
     def serves(self, table: Table, proxy: int) -> bool:
         return table.zone in ("", self.proxies[proxy][0])
 
-    def line(self, table: Table, name: str, weight: float) -> None:
+    def line(self, table: Table, users: list[int], name: str, weight: float) -> None:
         self.host.line(table.number, name, weight)
-        self.charge(self.users(table), 1)
+        self.charge(users, 1)
+        table.owed.pop(name, None)
         table.sent.pop(name, None)
         if weight > 0:
             table.sent[name] = weight
@@ -248,15 +277,24 @@
         fits = (not like.kinds or up.kind in like.kinds) and (not like.zones or up.zone in like.zones)
         return up.mode == "in_service" and near and fits
 
-    # The channel: lines that no proxy has confirmed yet are taken to wait.
+    # The channel: what was ordered waits at the stated rate; what stays unanswered past its time waits too.
 
     def load(self) -> float:
-        moment = sum(self.moment.values()) + len(self.moment) * self.head
-        return self.queue + self.lost + moment
+        return self.queue + self.overdue
+
+    def limit(self) -> float:
+        """Half the queue, and no more than lets a withdrawal reach all in half of the grace."""
+        terms = self.facts.channel
+        reach = self.rate * (self.facts.rules.drain_grace - terms.late_most) - len(self.proxies) * (
+            self.head + 1
+        )
+        return min(terms.most_waiting, max(reach, 0.0)) / 2
 
     def charge(self, proxies: list[int], lines: int) -> None:
         for proxy in proxies:
-            self.moment[proxy] = self.moment.get(proxy, 0) + lines
+            cost = lines if proxy in self.moment else lines + self.head
+            self.moment[proxy] = self.moment.get(proxy, 0) + cost
+            self.queue += cost
 
     def send(self, now: int) -> None:
         """Books the moment's messages, and tags them so that their arrival is known."""
@@ -264,38 +302,42 @@
             return
         self.mark = (self.mark + 1) % 65536
         self.host.mark(self.mark, False)
+        due = now + int(self.load() / self.rate) + self.facts.channel.late_most
         for proxy, lines in self.moment.items():
-            whole = lines + self.head
-            self.waiting[proxy].append((self.mark, whole))
-            self.queue += whole
+            self.waiting[proxy].append((self.mark, lines, due))
         self.moment.clear()
         self.send_after = now + self.spacing
 
     def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
         book = self.waiting.get(proxy, [])
-        for i, (mark, _) in enumerate(book):
+        for i, (mark, _, _) in enumerate(book):
             if mark == number:
-                self.queue -= sum(lines for _, lines in book[: i + 1])
                 del book[: i + 1]
                 return
 
     # Rules first: what the list says of draining, gone and new hosts.
 
     def guard(self, now: int) -> None:
-        most = len(self.proxies) * (self.head + 1 + len(self.tables))
-        for name, up in self.hosts.items():
+        cost, left = len(self.proxies) * (self.head + 1), []
+        for name in self.shifted:
+            up = self.hosts[name]
             out = up.mode != "in_service"
-            if out != up.withdrawn and self.load() + most <= self.facts.channel.most_waiting:
-                self.host.withdraw(name, out)
-                self.charge(list(self.proxies), 1)
-                up.withdrawn = out
-                for table in self.tables:
-                    if out and name in table.sent:
-                        self.line(table, name, 0.0)
+            if out == up.withdrawn:
+                continue
+            if self.load() + cost > self.facts.channel.most_waiting:
+                left.append(name)
+                continue
+            self.host.withdraw(name, out)
+            self.charge(list(self.proxies), 1)
+            up.withdrawn = out
+            for table in self.tables:
+                if out and name in table.sent:
+                    self.line(table, self.users(table), name, 0.0)
+        self.shifted = left
         for table in self.tables:
             if not table.sent:  # a table is filled before any proxy is bound to it, and never left empty
                 self.spill(now, table)
-                self.tune(now, table)
+                self.tune(now, table, self.facts.channel.most_waiting)
 
     def list_began(self, now: int, whole: bool) -> None:
         self.whole, self.listing, self.backoff = whole, [], SECOND
@@ -314,11 +356,14 @@
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
         self.listing.append(name)
+        self.shifted.append(name)
 
     def list_ended(self, now: int) -> None:
-        for name in self.hosts.keys() - set(self.listing) if self.whole else ():
-            self.hosts[name].mode = "terminated"  # in any order: nothing else happens here
-        self.tune_after = now
+        here = set(self.listing)
+        for name in [n for n in self.hosts if n not in here] if self.whole else ():
+            self.hosts[name].mode = "terminated"
+            self.shifted.append(name)
+        self.order_after = now
 
     def list_lost(self, now: int) -> None:
         self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
@@ -512,7 +557,8 @@
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
-        self.lost = max(0.0, self.lost - self.pace * BEAT)
+        books = self.waiting.values()
+        self.overdue = sum(lines for book in books for _, lines, due in book if due < now)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
