--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -17,7 +17,7 @@
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
 DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
 CHANGE, ENTRY = 0.1, 0.5  # share that a sent weight moved by; of the average, for a newly started host
-TUNING_RATE, TUNING_COST = 0.5, 0.01  # of the channel's rate, the most; of the result, the most for weights
+TUNING_RATE, PAYBACK = 0.5, 5 * SECOND  # of the channel's rate, the most; by when a line earns its price
 BUCKETS, MOVED = 4, 9.0  # of time, for a judgement; a move of weight that counts as in or out
 NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near; most kept; late over far
 LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
@@ -123,15 +123,9 @@
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
         self.head = int(facts.channel.head_lines) + 1  # lines that a message costs, its mark with it
         self.rate = facts.channel.lines_per_s / SECOND
-        self.pace = (
-            self.rate * TUNING_RATE
-        )  # lines a tick that all tables may use, and weights, by their price
-        self.tuning = min(self.pace, self.rate * TUNING_COST / max(facts.channel.order_price, TUNING_COST))
-        self.mark, self.order_after, self.tune_after, self.send_after = 0, 0, 0, now
-        self.solve_at, self.shifted = (
-            now + SOLVE_EVERY,
-            list[str](),
-        )  # hosts whose withdrawal is to be ordered
+        self.pace = self.rate * TUNING_RATE  # lines a tick for tables
+        self.mark, self.order_after, self.send_after = 0, 0, now
+        self.solve_at, self.shifted = now + SOLVE_EVERY, [""][:0]  # shifted: may have to be withdrawn
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -173,14 +167,11 @@
             before = self.load()
             for table in self.tables:
                 self.tune(now, table, limit)
-            spent = self.load() - before
-            self.order_after = now + BEAT + int(spent / self.pace)
-            if now >= self.tune_after:
-                self.tune_after = now + int(spent / self.tuning)
+            self.order_after = now + BEAT + int((self.load() - before) / self.pace)
         self.send(now)
 
     def tune(self, now: int, table: Table, limit: float) -> None:
-        """Sends levels and hosts in or out, then as the price allows lines that moved, then those owed."""
+        """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed."""
         users = self.users(table)
         for k, (tries, level) in self.levels(table).items():
             before = table.levels.get(k)
@@ -188,10 +179,8 @@
                 self.host.allow(table.number, 1 << k, tries, level)
                 table.levels[k] = (tries, level)
                 self.charge(users, 1)
-        for moved, name, weight in sorted(self.moves(now, table), reverse=True):
-            if users and self.load() >= (
-                limit if moved >= MOVED else limit / 2 if now >= self.tune_after else 0
-            ):
+        for moved, name, weight in sorted(self.moves(now, table), key=lambda row: -row[0]):
+            if users and self.load() >= (limit if moved >= MOVED else limit / 2):
                 break
             self.line(table, users, name, weight)
 
@@ -202,11 +191,14 @@
             left = [name for name, up in self.hosts.items() if self.open_to(table, up)]
             left = [name for name in left if not self.cold(now, self.hosts[name])] or left
             weights = {name: float(name in left) for name in self.hosts}
+        # a line must move far enough to earn what it costs at all who use the table
+        price = self.facts.channel.order_price * len(self.users(table)) * len(weights)
+        quantum = max(CHANGE, math.sqrt(price / (self.rate * PAYBACK)))
         found = []
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
-            if moved > CHANGE or (name in table.owed and weight):
+            if moved > quantum or (name in table.owed and weight):
                 found.append((moved, name, weight))
         return found
 
