--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from itertools import accumulate
 from statistics import median
 
 from .host import Facts, Host, Route
@@ -60,6 +61,13 @@
         return [sum(column) for column in zip(*kept, strict=True)] if kept else self.nothing
 
 
+def middle(rows: list[tuple[float, float]]) -> float:
+    """The median of values by weight."""
+    rows, half = sorted(rows), sum(weight for _, weight in rows) / 2
+    reached = accumulate(weight for _, weight in rows)
+    return next(value for (value, _), sofar in zip(rows, reached, strict=True) if sofar >= half)
+
+
 class Upstream:
     """A listed host, as this director knows it."""
 
@@ -467,7 +475,7 @@
         """Moves the room, the share of the calls' work that is let in, by latency, drops and load."""
         # what is gone, out or dead says nothing of load
         sums = [u.heard.total(now, 2) for u in self.hosts.values() if u.mode == "in_service" and not u.sick]
-        tries, errors, spent = (sum(s[i] for s in sums if s[0] > s[1]) for i in range(3))
+        sums = [row for row in sums if row[0] > row[1]]
         told, self.told_to = self.told_to, max(self.told.values(), default=0)
         self.behind = max(0, self.behind + BEAT - self.told_to + told) if 0 < told <= self.told_to else 0
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
@@ -478,9 +486,11 @@
         self.loads[now // BEAT & 7] = busy
         if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
             self.good, self.unsure = 1.0, False  # before the first sums, load that is told says as much
-        if tries - errors < 1 or tried == 0 or not any(n for n, _ in calls):
+        if not sums or tried == 0 or not any(n for n, _ in calls):
             return  # reports have stopped, or not begun: levels stay
-        mean, good = spent / (tries - errors), (tries - errors) / tries
+        # by the middle of the tries: what fails or is late at some hosts only is for weights and health
+        mean = middle([(spent / (tries - errors), tries) for tries, errors, spent in sums])
+        good = 1 - middle([(errors / tries, tries) for tries, errors, _ in sums])
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
         self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
