Withdrawals go only to proxies that may hold the host; its table lines go last

A withdrawal alone keeps the rule; the line in the table is taken out when nothing else waits, and set anew before the host is readmitted, since a process that starts anew is cold. Withdrawals go ahead of readmissions.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -205,9 +205,10 @@
         found = []
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
+            idle = self.hosts[name].withdrawn  # its line may stay for a while
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
             if moved > quantum or (name in table.owed and weight):
-                found.append((moved, name, weight))
+                found.append((0.0 if idle else moved, name, weight))
         return found
 
     def users(self, table: Table) -> list[int]:
@@ -318,26 +319,28 @@
     # Rules first: what the list says of draining, gone and new hosts.
 
     def guard(self, now: int) -> None:
-        cost, left = len(self.proxies) * (self.head + 1), []
-        for name in self.shifted:
+        """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
+        most, left = self.facts.channel.most_waiting, []
+        for name in sorted(self.shifted, key=lambda name: self.hosts[name].mode == "in_service"):
             up = self.hosts[name]
             out = up.mode != "in_service"
+            tables = [table for table in self.tables if name in table.sent]
+            holders = [p for p in self.proxies if p in self.joined or any(self.serves(t, p) for t in tables)]
             if out == up.withdrawn:
                 continue
-            if self.load() + cost > self.facts.channel.most_waiting:
+            if self.load() + len(holders) * (self.head + 1) > (most if out else self.limit()):
                 left.append(name)
                 continue
+            for table in [] if out else tables:  # what the old process was worth may be too much
+                self.line(table, self.users(table), name, self.weight(now, table, up))
             self.host.withdraw(name, out)
-            self.charge(list(self.proxies), 1)
+            self.charge(holders, 1)
             up.withdrawn = out
-            for table in self.tables:
-                if out and name in table.sent:
-                    self.line(table, self.users(table), name, 0.0)
         self.shifted = left
-        for table in self.tables:
-            if not table.sent:  # a table is filled before any proxy is bound to it, and never left empty
+        for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
+            if all(self.hosts[name].withdrawn for name in table.sent):
                 self.spill(now, table)
-                self.tune(now, table, self.facts.channel.most_waiting)
+                self.tune(now, table, most)
 
     def list_began(self, now: int, whole: bool) -> None:
         self.whole, self.listing, self.backoff = whole, [], SECOND
