--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -406,8 +406,10 @@
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
         up = self.hosts.get(name) or Upstream(self.width)  # of before a restart, it may be unknown
         up.missed = outcome in (TIMED_OUT, DOWN)
-        # a probe that waits in line with the calls and times out tells of a full host, if calls are answered
-        full = outcome == TIMED_OUT and (not self.stress or up.heard.total(now, 2)[0] > 0)
+        # a probe that times out tells of a full host only if the calls that it answers are late too
+        tries, errors, spent = up.heard.total(now, 2)
+        late = spent > (tries - errors) * TIGHT * min(r.slo_time for r in self.facts.routes)
+        full = outcome == TIMED_OUT and (not self.stress or late)
         self.load_told(now, up, 1.0 if full and up.zone not in self.cuts else load.get("busy"))
 
     def look(self, now: int) -> None:
@@ -495,6 +497,7 @@
         mean = middle([(spent / (tries - errors), tries) for tries, errors, spent in sums])
         good = 1 - middle([(errors / tries, tries) for tries, errors, _ in sums])
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
+        good = good if late > TIGHT else 1.0  # drops where what is answered is in time are no overload
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
         self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
         # load that rises will have risen further when an order shows; at first reports only fill in
