A host that still answers some goes out only if the others can carry its load

Should also catch: errors of one route only. May hurt: quick errors on a full fleet. Untouched: a host that answers nothing goes as before.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -419,7 +419,7 @@
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
         slow = CROWDED * median([s / (t - e) for _, _, (t, e, s) in ready if t - e >= 2] or [0.0])
         bar = usual + (SICK_SHARE if self.stress < EASY else SICK_SHARE * 2)
-        for name, up, (tries, errors, spent) in ready:
+        for name, up, (tries, errors, spent) in sorted(ready, key=lambda r: -r[2][1] / max(r[2][0], 1.0)):
             good, share = tries - errors, errors / max(tries, 1.0)
             sure = (share - usual) * math.sqrt(tries) > SICK_SIGMAS * math.sqrt(usual * (1 - usual) + 0.02)
             if up.sick:
@@ -433,17 +433,23 @@
                     up.sick = False
                     self.host.log(f"{name} is back: {errors:.0f} of {tries:.0f} dropped")
             elif (
-                errors >= 3 and share > bar and sure and (good < 2 or spent / good < slow) and self.spared(up)
+                errors >= 3
+                and share > bar
+                and sure
+                and (good < 2 or spent / good < slow)
+                and self.spared(now, up, good)
             ):
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
-    def spared(self, up: Upstream) -> bool:
-        """Whether every table keeps enough other hosts if this one goes out."""
+    def spared(self, now: int, up: Upstream, good: float) -> bool:
+        """Whether every table keeps enough other hosts if this one goes out, and they can carry its load."""
         for table in self.tables:
-            others = [u for u in self.hosts.values() if u is not up and self.open_to(table, u)]
-            well = sum(not u.sick and u.zone not in self.cuts for u in others)
-            if self.open_to(table, up) and well < max(2, KEEP * (len(others) + 1)):
+            hosts = [u for u in self.hosts.values() if self.open_to(table, u)]
+            well = [u for u in hosts if u is not up and not u.sick and u.zone not in self.cuts]
+            load = sum(u.size * u.factor * (u.busy if now - u.busy_at < FRESH else IDLE) for u in hosts)
+            jam = load > GOOD * sum(u.size * u.factor for u in well)  # who still answers some is worth more
+            if self.open_to(table, up) and (len(well) < max(2, KEEP * len(hosts)) or (jam and good)):
                 return False
         return True
 
