--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -173,26 +173,28 @@
             del self.joined[proxy]
         if now >= self.order_after and self.load() < limit / 2:
             before = self.load()
-            for table in self.tables:
-                self.tune(now, table, limit)
+            self.tune(now, self.tables, limit)
             self.order_after = now + BEAT + int((self.load() - before) / self.pace)
         self.send(now)
 
-    def tune(self, now: int, table: Table, limit: float) -> None:
+    def tune(self, now: int, tables: list[Table], limit: float) -> None:
         """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed."""
-        users = self.users(table)
-        for k, (tries, level) in self.levels(table).items():
-            before = table.levels.get(k)
-            if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
-                self.host.allow(table.number, 1 << k, tries, level)
-                table.levels[k] = (tries, level)
-                self.charge(users, 1)
-        for moved, name, weight in sorted(self.moves(now, table), key=lambda row: -row[0]):
+        found = []
+        for table in tables:
+            users = self.users(table)
+            for k, (tries, level) in self.levels(table).items():
+                before = table.levels.get(k)
+                if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
+                    self.host.allow(table.number, 1 << k, tries, level)
+                    table.levels[k] = (tries, level)
+                    self.charge(users, 1)
+            found += [(moved, table, users, name, new) for moved, name, new in self.moves(now, table, users)]
+        for moved, table, users, name, weight in sorted(found, key=lambda row: -row[0]):
             if users and self.load() >= (limit if moved >= MOVED else limit / 2):
                 break
             self.line(table, users, name, weight)
 
-    def moves(self, now: int, table: Table) -> list[tuple[float, str, float]]:
+    def moves(self, now: int, table: Table, users: list[int]) -> list[tuple[float, str, float]]:
         """The lines worth sending, with how far each moved."""
         weights = {name: self.weight(now, table, up) for name, up in self.hosts.items()}
         if not any(weights.values()):  # the last hosts left are used, however they fare
@@ -200,7 +202,7 @@
             left = [name for name in left if not self.cold(now, self.hosts[name])] or left
             weights = {name: float(name in left) for name in self.hosts}
         # a line must move far enough to earn what it costs at all who use the table
-        price = self.facts.channel.order_price * len(self.users(table)) * len(weights)
+        price = self.facts.channel.order_price * len(users) * len(weights)
         quantum = max(CHANGE, math.sqrt(price / (self.rate * PAYBACK)))
         found = []
         for name, weight in weights.items():
@@ -340,7 +342,7 @@
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 self.spill(now, table)
-                self.tune(now, table, most)
+                self.tune(now, [table], most)
 
     def list_began(self, now: int, whole: bool) -> None:
         self.whole, self.listing, self.backoff = whole, [], SECOND
