--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -201,16 +201,19 @@
             left = [name for name, up in self.hosts.items() if self.open_to(table, up)]
             left = [name for name in left if not self.cold(now, self.hosts[name])] or left
             weights = {name: float(name in left) for name in self.hosts}
-        # a line must move far enough to earn what it costs at all who use the table
+        # a line must move far enough to earn, by its part of the calls, what it costs at all users
+        books = [(k in table.routes, self.rates[route.name]) for k, route in enumerate(self.facts.routes)]
+        part = sum(book.get(p, 0.0) for own, book in books if own for p in users)
+        part /= sum(sum(book.values()) for _, book in books) or 1.0
         price = self.facts.channel.order_price * len(users) * len(weights)
-        quantum = max(CHANGE, math.sqrt(price / (self.rate * PAYBACK)))
+        quantum = max(CHANGE, math.sqrt(price / (self.rate * PAYBACK * max(part, FLOOR))))
         found = []
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
             idle = self.hosts[name].withdrawn  # its line may stay for a while
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
             if moved > quantum or (name in table.owed and weight):
-                found.append((0.0 if idle else moved, name, weight))
+                found.append((0.0 if idle else moved if moved >= MOVED else moved * part, name, weight))
         return found
 
     def users(self, table: Table) -> list[int]:
