--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -242,9 +242,11 @@
             target = min(CLAMP, max(1 / CLAMP, middle / up.latency))
             up.factor += DAMPING * (target - up.factor)
         mean = self.load_of(now, self.tables[0])
-        for up in self.hosts.values():  # latency may hide idle cores: under load, weights lean to them
+        for up in self.hosts.values():  # latency hides idle cores: where some are not, weights lean
             if now - up.busy_at < FRESH:
-                lean = up.lean * (mean / max(up.usual_busy, 0.1)) ** LEAN if mean > IDLE else up.lean**0.5
+                full = max(mean, up.usual_busy) > IDLE
+                lean = up.lean * (mean / max(up.usual_busy, 0.1)) ** LEAN if full else up.lean**0.5
+                lean = min(lean, 1.0) if up.latency > middle else lean  # late, whatever it tells of its load
                 up.lean = min(CLAMP, max(1 / CLAMP, lean))
         for table in self.tables:
             self.spill(now, table)
