--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -246,7 +246,6 @@
             if now - up.busy_at < FRESH:
                 full = max(mean, up.usual_busy) > IDLE
                 lean = up.lean * (mean / max(up.usual_busy, 0.1)) ** LEAN if full else up.lean**0.5
-                lean = min(lean, 1.0) if up.latency > middle else lean  # late, whatever it tells of its load
                 up.lean = min(CLAMP, max(1 / CLAMP, lean))
         for table in self.tables:
             self.spill(now, table)
