--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -113,7 +113,7 @@
         self.tables = [Table(n, ks, facts.routes[ks[0]], str(key[-1])) for n, (key, ks) in sorts]
         self.proxies: dict[int, tuple[str, float]] = {}  # zone, usual calls a second
         self.bound: dict[int, None] = {}
-        self.joined: dict[int, int] = {}  # to be bound: the second they joined in
+        self.joined: dict[int, tuple[int, float]] = {}  # to be bound: who waits longest, then the busiest
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
         self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
@@ -140,7 +140,7 @@
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
-        self.joined[proxy] = now // SECOND
+        self.joined[proxy] = (now // SECOND, -rate)
 
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
@@ -160,7 +160,7 @@
         self.drained_at = now
         self.guard(now)
         limit = self.limit()
-        for proxy in self.turns() if self.joined and self.load() < limit else ():
+        for proxy in sorted(self.joined, key=self.joined.__getitem__):
             if self.load() >= limit:
                 break
             for table in [t for t in self.tables if self.serves(t, proxy)]:
@@ -172,23 +172,9 @@
         if now >= self.order_after and self.load() < limit / 2:
             before = self.load()
             self.tune(now, self.tables, limit)
-            self.order_after = now + BEAT + int((self.load() - before) / self.pace)
+            self.order_after = now + max(BEAT, int((self.load() - before) / self.pace))
         self.send(now)
 
-    def turns(self) -> list[int]:
-        """Who joined first is bound first, then the busiest of the zone with most calls for its hosts."""
-        press: dict[str, float] = {}
-        for zone, rate in self.proxies.values():
-            press[zone] = press.get(zone, 0.0) + rate
-        for zone in press:
-            press[zone] /= sum(up.size for up in self.hosts.values() if up.zone == zone) or 1.0
-
-        def turn(proxy: int) -> tuple[int, float]:
-            zone, rate = self.proxies[proxy]
-            return self.joined[proxy], -rate * press[zone]
-
-        return sorted(self.joined, key=turn)
-
     def tune(self, now: int, tables: list[Table], limit: float) -> None:
         """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed."""
         found = []
