--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -21,7 +21,6 @@
 TUNING_RATE, PAYBACK = 0.5, 5 * SECOND  # of the channel's rate, the most; by when a line earns its price
 BUCKETS, MOVED = 4, 9.0  # of time, for a judgement; a move of weight that counts as in or out
 NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near; most kept; late over far
-LEAN = 0.3  # power of mean over own load that weights lean by, a step, once cores are not idle
 SICK_SHARE, SICK_SIGMAS = 0.25, 3.0  # errors above the better hosts', twice that under stress; how sure
 CROWDED, REST = 1.5, 5 * SECOND  # times median latency: crowded, not sick; first time out, then doubled
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
@@ -75,10 +74,10 @@
         self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
         self.heard = Ring(width, 3)  # tries, errors, time of the answered
         self.deaf_until = 0  # what is heard until then is of before
-        self.factor, self.lean = 1.0, 1.0  # what latency and idle cores have made of its base weight
+        self.factor = 1.0  # what latency has made of its base weight
         self.latency = 0.0  # as last heard, or the median
         self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
-        self.busy, self.usual_busy, self.busy_at = 0.0, 0.5, -FRESH  # cores in use, as last told and smoothed
+        self.busy, self.busy_at = 0.0, -FRESH  # cores in use, as last told
         self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
         self.withdrawn = False  # as ordered
 
@@ -239,12 +238,6 @@
             up.latency = latency.get(name, middle)
             target = min(CLAMP, max(1 / CLAMP, middle / up.latency))
             up.factor += DAMPING * (target - up.factor)
-        mean = self.load_of(now, self.tables[0])
-        for up in self.hosts.values():  # latency hides idle cores: where some are not, weights lean
-            if now - up.busy_at < FRESH:
-                full = max(mean, up.usual_busy) > IDLE
-                lean = up.lean * (mean / max(up.usual_busy, 0.1)) ** LEAN if full else up.lean**0.5
-                up.lean = min(CLAMP, max(1 / CLAMP, lean))
         for table in self.tables:
             self.spill(now, table)
 
@@ -272,7 +265,7 @@
         if not self.open_to(table, up) or (up.sick and now < up.out_until) or up.zone in self.cuts:
             return 0.0
         far = table.far if up.zone != table.zone else 1.0
-        warmth, learnt = self.warmth(now, up), up.factor * up.lean
+        warmth, learnt = self.warmth(now, up), up.factor
         learnt = min(learnt, 1.0) if warmth < 1 else learnt  # idle as it is, a cold host has its ramp only
         return up.size * learnt * warmth * (TRIAL if up.sick else 1.0) * far
 
@@ -358,7 +351,7 @@
         up = self.hosts[name]
         if started != up.started:  # a new process: nothing heard of the old one holds
             up.heard.forget()
-            up.factor, up.lean, up.sick, up.rest = ENTRY, 1.0, False, REST
+            up.factor, up.sick, up.rest = ENTRY, False, REST
         if self.facts.weights in ("nominal", "rough"):
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
@@ -405,7 +398,6 @@
     def load_told(self, now: int, up: Upstream, busy: float | None) -> None:
         if busy is not None:
             up.busy, up.busy_at = busy, now
-            up.usual_busy += 0.2 * (busy - up.usual_busy)
 
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
         up = self.hosts.get(name) or Upstream(self.width)  # of before a restart, it may be unknown
