--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -579,7 +579,7 @@
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
         if now >= self.solve_at:
-            self.solve_at = now + SOLVE_EVERY
+            self.solve_at = now + 2 * SOLVE_EVERY
             self.solve(now)
         self.host.after(BEAT, 0)
 
