Latency is compared among hosts of the same listed weight

Cause: a listed weight tells of a kind's speed, and latency then told it a second time. Where nothing is listed it is the median of all, as the design has it.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -233,8 +233,12 @@
         latency = {name: s / (t - e) for name, (t, e, s) in sums.items() if t - e >= 2 and s > 0}
         if not latency:
             return
-        middle = median(latency.values())
+        alike: dict[float, list[float]] = {}  # what a listed weight says of speed is not counted twice
+        for name, late in latency.items():
+            alike.setdefault(self.hosts[name].size, []).append(late)
+        usual = {size: median(lates) for size, lates in alike.items()}
         for name, up in self.hosts.items():
+            middle = usual.get(up.size, median(latency.values()))
             up.latency = latency.get(name, middle)
             target = min(CLAMP, max(1 / CLAMP, middle / up.latency))
             up.factor += DAMPING * (target - up.factor)
@@ -579,7 +583,7 @@
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
         if now >= self.solve_at:
-            self.solve_at = now + 2 * SOLVE_EVERY
+            self.solve_at = now + SOLVE_EVERY
             self.solve(now)
         self.host.after(BEAT, 0)
 
