--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -26,6 +26,7 @@
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
 SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
+DEAD = 0.9  # share dropped by a host that is worth nothing
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
 EASY, CALM, JAMMED = 0.4, 0.35, 0.7  # stress: hosts judged sooner; repeatable calls try twice; a bad start
@@ -437,19 +438,20 @@
                 and share > bar
                 and sure
                 and (good < 2 or spent / good < slow)
-                and self.spared(now, up, good)
+                and self.spared(now, up, share)
             ):
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
-    def spared(self, now: int, up: Upstream, good: float) -> bool:
+    def spared(self, now: int, up: Upstream, share: float) -> bool:
         """Whether every table keeps enough other hosts if this one goes out, and they can carry its load."""
         for table in self.tables:
             hosts = [u for u in self.hosts.values() if self.open_to(table, u)]
             well = [u for u in hosts if u is not up and not u.sick and u.zone not in self.cuts]
             load = sum(u.size * u.factor * (u.busy if now - u.busy_at < FRESH else IDLE) for u in hosts)
-            jam = load > GOOD * sum(u.size * u.factor for u in well)  # who still answers some is worth more
-            if self.open_to(table, up) and (len(well) < max(2, KEEP * len(hosts)) or (jam and good)):
+            # who still answers some is worth more than a jam of the others
+            jam = self.room < OPEN or load > LOW * sum(u.size * u.factor for u in well)
+            if self.open_to(table, up) and (len(well) < max(2, KEEP * len(hosts)) or (jam and share < DEAD)):
                 return False
         return True
 
