Narrow tables: where idle hosts refuse most tries, groups of proxies use a few hosts each

Told from others: fewer than two fifths of all tries answered, at the middle host too, while cores are idle and answers in time; a jam is late and busy, one-sided loss leaves more than that. Should also catch: any limit by connection count. May hurt: most of a fleet dead at once with its list unheard; a narrow table that lost its hosts widens.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -26,6 +26,8 @@
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
 SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
+FEW, NARROW = 3, 20 * SECOND  # hosts in a narrow table; how long first, then doubled
+BARRED = 0.4  # under this share answered by idle hosts, connections fail
 DEAD = 0.9  # share dropped by a host that is worth nothing
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
@@ -86,8 +88,9 @@
 class Table:
     """A shared table: the routes that may use the same hosts, for all proxies or those of a zone."""
 
-    def __init__(self, number: int, routes: list[int], like: Route, zone: str) -> None:
+    def __init__(self, number: int, routes: list[int], like: Route, zone: str, group: int = -1) -> None:
         self.number, self.routes, self.like, self.zone = number, routes, like, zone
+        self.group, self.only = group, list[Upstream]()  # narrow: of a group of proxies, with these hosts
         self.far, self.push = 1.0, 1.0  # what hosts elsewhere count there, and how much more than weights say
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
@@ -112,7 +115,9 @@
         sorts = enumerate(groups.items())
         self.tables = [Table(n, ks, facts.routes[ks[0]], str(key[-1])) for n, (key, ks) in sorts]
         self.proxies: dict[int, tuple[str, float]] = {}  # zone, usual calls a second
-        self.bound: dict[int, None] = {}
+        self.bound: dict[int, int] = {}  # to the tables of its group, or the wide ones: -1
+        self.wide, self.groups = list(self.tables), dict[int, int]()  # groups, while tables are narrow
+        self.narrow_until, self.narrow, self.last = 0, NARROW, len(self.tables)
         self.joined: dict[int, tuple[int, float]] = {}  # to be bound: who waits longest, then the busiest
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
@@ -141,6 +146,9 @@
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
         self.joined[proxy] = (now // SECOND, -rate)
+        fits = [table.group for table in self.tables if table.group >= 0 and self.near(table, proxy)]
+        if self.narrow_until and fits:
+            self.groups.setdefault(proxy, fits[int(self.chance() * len(fits))])
 
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
@@ -163,11 +171,11 @@
         for proxy in sorted(self.joined, key=self.joined.__getitem__):
             if self.load() >= limit:
                 break
-            for table in [t for t in self.tables if self.serves(t, proxy)]:
+            for table in self.tables_of(proxy, self.groups.get(proxy, -1)):
                 self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
                 self.charge([proxy], 2 + len(table.sent) + len(table.levels))
                 table.owed = dict.fromkeys(table.sent)
-            self.bound[proxy] = None
+            self.bound[proxy] = self.groups.get(proxy, -1)
             del self.joined[proxy]
         if now >= self.order_after and self.load() < limit / 2:
             before = self.load()
@@ -215,9 +223,12 @@
         return found
 
     def users(self, table: Table) -> list[int]:
-        return [p for p in self.bound if self.serves(table, p)]
+        return [p for p, group in self.bound.items() if group == table.group and self.near(table, p)]
 
-    def serves(self, table: Table, proxy: int) -> bool:
+    def tables_of(self, proxy: int, group: int) -> list[Table]:
+        return [t for t in self.tables if t.group == group and self.near(t, proxy)]
+
+    def near(self, table: Table, proxy: int) -> bool:
         return table.zone in ("", self.proxies[proxy][0])
 
     def line(self, table: Table, users: list[int], name: str, weight: float) -> None:
@@ -271,6 +282,8 @@
             return 0.0
         far = table.far if up.zone != table.zone else 1.0
         warmth, learnt = self.warmth(now, up), up.factor
+        if table.group >= 0 and warmth < 1:
+            return 0.0  # too few others to share with
         learnt = min(learnt, 1.0) if warmth < 1 else learnt  # idle as it is, a cold host has its ramp only
         return up.size * learnt * warmth * (TRIAL if up.sick else 1.0) * far
 
@@ -278,7 +291,7 @@
         like = table.like
         near = up.zone == table.zone or not like.own_zone
         fits = (not like.kinds or up.kind in like.kinds) and (not like.zones or up.zone in like.zones)
-        return up.mode == "in_service" and near and fits
+        return up.mode == "in_service" and near and fits and (not table.only or up in table.only)
 
     # The channel: what was ordered waits at the stated rate; what stays unanswered past its time waits too.
 
@@ -327,7 +340,8 @@
             up = self.hosts[name]
             out = up.mode != "in_service"
             tables = [table for table in self.tables if name in table.sent]
-            holders = [p for p in self.proxies if p in self.joined or any(self.serves(t, p) for t in tables)]
+            users = {p for table in tables for p in self.users(table)}
+            holders = [p for p in self.proxies if p in self.joined or p in users]
             if out == up.withdrawn:
                 continue
             if self.load() + len(holders) * (self.head + 1) > (most if out else self.limit()):
@@ -341,6 +355,8 @@
         self.shifted = left
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
+                if table.sent:
+                    table.only = []  # a narrow one that lost its hosts
                 self.spill(now, table)
                 self.tune(now, [table], most)
 
@@ -474,6 +490,43 @@
                 up.heard.forget()
                 up.deaf_until = now + self.lag
 
+    # Narrow tables: idle hosts that refuse connections get fewer of them, as each proxy uses a few hosts.
+
+    def go_narrow(self, now: int, good: float, busy: float) -> None:
+        """Deals hosts and proxies to groups, each with a narrow table in place of each wide one."""
+        self.narrow_until, self.narrow = now + self.narrow, 2 * self.narrow
+        self.host.log(f"narrow tables: good {good:.2f}, busy {busy:.2f}")
+        for up in self.hosts.values():  # what failed may have been connections
+            up.sick = False
+            up.heard.forget()
+        self.tables, group = list(self.wide), 0
+        for zone in dict.fromkeys(table.zone for table in self.wide):
+            wide = [table for table in self.wide if table.zone == zone]
+            proxies = [p for p in self.proxies if self.near(wide[0], p)]
+            near = [u for u in self.hosts.values() if zone in ("", u.zone)]
+            hosts = [[u for u in near if self.open_to(table, u)] for table in wide]
+            parts = max(1, min(max(map(len, hosts)) // FEW, len(proxies)))
+            rates = [0.0] * parts
+            for proxy in sorted(proxies, key=lambda p: -self.proxies[p][1]):
+                least = rates.index(min(rates))
+                rates[least] += self.proxies[proxy][1]
+                self.groups[proxy] = group + least
+            for table, ups in zip(wide, hosts, strict=True):
+                ups.sort(key=lambda u: -u.size * u.factor)
+                for k in range(parts if ups else 0):
+                    self.last += 1
+                    narrow = Table(self.last, table.routes, table.like, zone, group + k)
+                    places = range(k, k + parts * max(FEW, len(ups) // parts), parts)
+                    narrow.only = [ups[place % len(ups)] for place in places]
+                    self.tables.append(narrow)
+            group += parts
+        self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
+
+    def go_wide(self, now: int) -> None:
+        self.narrow_until, self.groups = 0, {}
+        self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
+        self.host.log("wide tables")
+
     # Levels and tries: throttle early under overload, least importance first.
 
     def calls_came(self, now: int, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
@@ -494,7 +547,7 @@
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
         answered, tried = self.answered.total(now, 2, back=1)
         self.best += max((answered - self.best) * GAIN, -self.best * FADE)
-        busy = max(self.load_of(now, table) for table in self.tables)
+        busy = max(self.load_of(now, table) for table in self.wide)
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
         if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
@@ -505,6 +558,8 @@
         mean = middle([(spent / (tries - errors), tries) for tries, errors, spent in sums])
         good = 1 - middle([(errors / tries, tries) for tries, errors, _ in sums])
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
+        if max(good, answered / tried) < BARRED and busy < IDLE and late < TIGHT and not self.narrow_until:
+            self.go_narrow(now, good, busy)
         good = good if late > TIGHT else 1.0  # drops where what is answered is in time are no overload
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
         self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
@@ -584,6 +639,10 @@
                 self.host.probe(name)
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
+        if 0 < self.narrow_until <= now:
+            self.go_wide(now)
+        if not self.narrow_until and not self.joined:
+            self.tables = list(self.wide)
         if now >= self.solve_at:
             self.solve_at = now + SOLVE_EVERY
             self.solve(now)
