Narrow tables of two hosts, groups of equal counts, for 30 s first

Two leave another host to try. Groups by count, as connections are counted, not calls; begun up to the load of throttling, as told loads lag.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -26,7 +26,7 @@
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
 SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
-FEW, NARROW = 3, 20 * SECOND  # hosts in a narrow table; how long first, then doubled
+FEW, NARROW = 2, 30 * SECOND  # hosts in a narrow table; how long first, then doubled
 BARRED = 0.4  # under this share answered by idle hosts, connections fail
 DEAD = 0.9  # share dropped by a host that is worth nothing
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
@@ -506,11 +506,9 @@
             near = [u for u in self.hosts.values() if zone in ("", u.zone)]
             hosts = [[u for u in near if self.open_to(table, u)] for table in wide]
             parts = max(1, min(max(map(len, hosts)) // FEW, len(proxies)))
-            rates = [0.0] * parts
-            for proxy in sorted(proxies, key=lambda p: -self.proxies[p][1]):
-                least = rates.index(min(rates))
-                rates[least] += self.proxies[proxy][1]
-                self.groups[proxy] = group + least
+            turn = [*range(parts), *reversed(range(parts))]  # as many proxies and about as much traffic each
+            for k, proxy in enumerate(sorted(proxies, key=lambda p: -self.proxies[p][1])):
+                self.groups[proxy] = group + turn[k % len(turn)]
             for table, ups in zip(wide, hosts, strict=True):
                 ups.sort(key=lambda u: -u.size * u.factor)
                 for k in range(parts if ups else 0):
@@ -558,7 +556,7 @@
         mean = middle([(spent / (tries - errors), tries) for tries, errors, spent in sums])
         good = 1 - middle([(errors / tries, tries) for tries, errors, _ in sums])
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
-        if max(good, answered / tried) < BARRED and busy < IDLE and late < TIGHT and not self.narrow_until:
+        if max(good, answered / tried) < BARRED and busy < GOOD and late < TIGHT and not self.narrow_until:
             self.go_narrow(now, good, busy)
         good = good if late > TIGHT else 1.0  # drops where what is answered is in time are no overload
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
