Where no weight is listed, a kind of host is worth its answered calls for its cores in use

Told from others: late hosts are of two kinds, from the first second on. May hurt: a kind whose members differ in cores.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -136,7 +136,7 @@
         self.rate = facts.channel.lines_per_s / SECOND
         self.pace = self.rate * TUNING_RATE  # lines a tick for tables
         self.mark, self.order_after, self.send_after = 0, 0, now
-        self.solve_at, self.shifted = now + SOLVE_EVERY, [""][:0]  # shifted: may have to be withdrawn
+        self.solve_at, self.shifted = now, [""][:0]  # shifted: may have to be withdrawn
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -239,13 +239,15 @@
         if weight > 0:
             table.sent[name] = weight
 
-    def solve(self, now: int) -> None:
-        """A step of every weight towards listed weight x median latency / own latency."""
+    def solve(self, now: int) -> bool:
+        """A step of every weight towards base weight x median latency / own latency, among hosts alike."""
         sums = {n: u.heard.total(now) for n, u in self.hosts.items() if u.mode == "in_service"}
         latency = {name: s / (t - e) for name, (t, e, s) in sums.items() if t - e >= 2 and s > 0}
-        if not latency:
-            return
-        alike: dict[float, list[float]] = {}  # what a listed weight says of speed is not counted twice
+        if not latency or (len(latency) < len(sums) / 2 and now < self.born + SOLVE_EVERY):
+            return False
+        if self.facts.weights not in ("nominal", "rough"):
+            self.appraise(now, sums)
+        alike: dict[float, list[float]] = {}  # what base weights say of speed is not counted twice
         for name, late in latency.items():
             alike.setdefault(self.hosts[name].size, []).append(late)
         usual = {size: median(lates) for size, lates in alike.items()}
@@ -256,6 +258,20 @@
             up.factor += DAMPING * (target - up.factor)
         for table in self.tables:
             self.spill(now, table)
+        return True
+
+    def appraise(self, now: int, sums: dict[str, list[float]]) -> None:
+        """Where no weight is listed, a kind of host is worth the calls it answers for its cores in use."""
+        pools: dict[str, list[float]] = {}
+        for name, (tries, errors, _) in sums.items():
+            up = self.hosts[name]
+            if tries > errors and now - up.busy_at < FRESH and not self.cold(now, up):
+                pool = pools.setdefault(up.kind, [0.0, 0.0])
+                pool[0], pool[1] = pool[0] + tries - errors, pool[1] + max(up.busy, FLOOR)
+        worth = {kind: answered / busy for kind, (answered, busy) in pools.items()}
+        known = [worth[up.kind] for up in self.hosts.values() if up.kind in worth]
+        for up in self.hosts.values():
+            up.size = worth[up.kind] * len(known) / sum(known) if up.kind in worth else 1.0
 
     def spill(self, now: int, table: Table) -> None:
         """Where crossing zones is dear, a zone keeps its calls as far as its weight and latency allow."""
@@ -642,8 +658,7 @@
         if not self.narrow_until and not self.joined:
             self.tables = list(self.wide)
         if now >= self.solve_at:
-            self.solve_at = now + SOLVE_EVERY
-            self.solve(now)
+            self.solve_at = now + (SOLVE_EVERY if self.solve(now) else BEAT)
         self.host.after(BEAT, 0)
 
     # Directors do not coordinate, and deployments with slices are not served: these change nothing.
