--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -351,24 +351,24 @@
 
     def guard(self, now: int) -> None:
         """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
-        most, left = self.facts.channel.most_waiting, []
-        for name in sorted(self.shifted, key=lambda name: self.hosts[name].mode == "in_service"):
+        # while a round of messages waits, more of the same gather: a message costs more than its line
+        names, most = self.shifted if self.load() < self.limit() else [], self.facts.channel.most_waiting
+        for name in sorted(names, key=lambda name: self.hosts[name].mode == "in_service"):
             up = self.hosts[name]
             out = up.mode != "in_service"
+            if out == up.withdrawn:
+                self.shifted.remove(name)
+                continue
             tables = [table for table in self.tables if name in table.sent]
             users = {p for table in tables for p in self.users(table)}
             holders = [p for p in self.proxies if p in self.joined or p in users]
-            if out == up.withdrawn:
-                continue
-            if self.load() + len(holders) * (self.head + 1) > (most if out else self.limit()):
-                left.append(name)
-                continue
-            for table in [] if out else tables:  # what the old process was worth may be too much
-                self.line(table, self.users(table), name, self.weight(now, table, up))
-            self.host.withdraw(name, out)
-            self.charge(holders, 1)
-            up.withdrawn = out
-        self.shifted = left
+            if self.load() + len(holders) * (self.head + 1) <= most:
+                for table in [] if out else tables:  # what the old process was worth may be too much
+                    self.line(table, self.users(table), name, self.weight(now, table, up))
+                self.host.withdraw(name, out)
+                self.charge(holders, 1)
+                self.shifted.remove(name)
+                up.withdrawn = out
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 if table.sent:
