Only hosts that drop nearly all go out, with no other condition

One figure takes the place of bars by stress, of how sure, of crowding and of whether the rest can carry the load. Who answers some stays, so one-sided loss and jams no longer empty half a fleet. May hurt: hosts that quickly fail half of their calls keep getting their share.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -21,17 +21,16 @@
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
 BUCKETS, MOVED = 4, 9.0  # of time, for a judgement; a move of weight that counts as in or out
 NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near; most kept; late over far
-SICK_SHARE, SICK_SIGMAS = 0.25, 3.0  # errors above the better hosts', twice that under stress; how sure
-CROWDED, REST = 1.5, 5 * SECOND  # times median latency: crowded, not sick; first time out, then doubled
+DEAD_SHARE, SICK_SHARE = 0.75, 0.25  # dropped above the better hosts: a host goes out; its trial fails
+REST = 5 * SECOND  # first time out, then doubled
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
 SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
 FEW, NARROW = 2, 30 * SECOND  # hosts in a narrow table; how long first, then doubled
 BARRED = 0.4  # under this share answered by idle hosts, connections fail
-DEAD = 0.9  # share dropped by a host that is worth nothing
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
-EASY, CALM, JAMMED = 0.4, 0.35, 0.7  # stress: hosts judged sooner; repeatable calls try twice; a bad start
+CALM, JAMMED = 0.35, 0.7  # stress: under it repeatable calls try twice; over it a start is into a jam
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late over SLO time; cores in use, now and as they rise
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
 AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
@@ -446,44 +445,34 @@
         self.load_told(now, up, 1.0 if full and up.zone not in self.cuts else load.get("busy"))
 
     def look(self, now: int) -> None:
-        """Takes out the hosts that fail where others do not; gives those that rested a trial."""
+        """Takes out hosts that drop nearly all where others do not; gives those that rested a trial.
+
+        Who answers some stays: in one-sided trouble and in a jam the others cannot carry its calls too.
+        """
         ready = [(n, u, u.heard.total(now)) for n, u in self.hosts.items() if u.mode == "in_service"]
         shares = sorted(e / t for _, u, (t, e, _) in ready if t >= 3 and not u.sick)
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
-        slow = CROWDED * median([s / (t - e) for _, _, (t, e, s) in ready if t - e >= 2] or [0.0])
-        bar = usual + (SICK_SHARE if self.stress < EASY else SICK_SHARE * 2)
-        for name, up, (tries, errors, spent) in sorted(ready, key=lambda r: -r[2][1] / max(r[2][0], 1.0)):
-            good, share = tries - errors, errors / max(tries, 1.0)
-            sure = (share - usual) * math.sqrt(tries) > SICK_SIGMAS * math.sqrt(usual * (1 - usual) + 0.02)
-            if up.sick:
-                if now < up.out_until:
-                    up.heard.forget()
-                elif errors >= 2 and share > usual + SICK_SHARE:
-                    up.rest = min(2 * up.rest, 4 * REST)
-                    up.out_until = now + up.rest
-                    self.host.log(f"{name} fails its trial: {errors:.0f} of {tries:.0f} dropped")
-                elif good >= TRIAL_CALLS:
-                    up.sick = False
-                    self.host.log(f"{name} is back: {errors:.0f} of {tries:.0f} dropped")
-            elif (
-                errors >= 3
-                and share > bar
-                and sure
-                and (good < 2 or spent / good < slow)
-                and self.spared(now, up, share)
-            ):
+        for name, up, (tries, errors, _) in ready:
+            share = errors / max(tries, 1.0)
+            if up.sick and now < up.out_until:
+                up.heard.forget()
+            elif up.sick and errors >= 2 and share > usual + SICK_SHARE:
+                up.rest = min(2 * up.rest, 4 * REST)
+                up.out_until = now + up.rest
+                self.host.log(f"{name} fails its trial: {errors:.0f} of {tries:.0f} dropped")
+            elif up.sick and tries - errors >= TRIAL_CALLS:
+                up.sick = False
+                self.host.log(f"{name} is back: {errors:.0f} of {tries:.0f} dropped")
+            elif not up.sick and errors >= 3 and share - usual > DEAD_SHARE and self.spared(up):
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
-    def spared(self, now: int, up: Upstream, share: float) -> bool:
-        """Whether every table keeps enough other hosts if this one goes out, and they can carry its load."""
+    def spared(self, up: Upstream) -> bool:
+        """Whether every table keeps enough other hosts if this one goes out."""
         for table in self.tables:
-            hosts = [u for u in self.hosts.values() if self.open_to(table, u)]
-            well = [u for u in hosts if u is not up and not u.sick and u.zone not in self.cuts]
-            load = sum(u.size * u.factor * (u.busy if now - u.busy_at < FRESH else IDLE) for u in hosts)
-            # who still answers some is worth more than a jam of the others
-            jam = self.room < OPEN or load > LOW * sum(u.size * u.factor for u in well)
-            if self.open_to(table, up) and (len(well) < max(2, KEEP * len(hosts)) or (jam and share < DEAD)):
+            others = [u for u in self.hosts.values() if u is not up and self.open_to(table, u)]
+            well = sum(not u.sick and u.zone not in self.cuts for u in others)
+            if self.open_to(table, up) and well < max(2, KEEP * (len(others) + 1)):
                 return False
         return True
 
