--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -30,7 +30,7 @@
 BARRED = 0.4  # under this share answered by idle hosts, connections fail
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
-CALM, JAMMED = 0.35, 0.7  # stress: under it repeatable calls try twice; over it a start is into a jam
+JAMMED = 0.7  # stress over which a start is into a jam
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late over SLO time; cores in use, now and as they rise
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
 AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
@@ -610,10 +610,9 @@
             left -= min(part, 1.0) * demand[route.name]
         result = {}
         for k in table.routes:
-            calm = self.room >= OPEN and self.stress < CALM and routes[k].semantics == "idempotent"
             share, by_rate = shares[routes[k].name], self.facts.fleet.admit == "rps"
             level = self.allowance(routes[k].name, share) if by_rate else min(share, 1.0)
-            result[k] = (2 if calm else 1 if self.room >= 1 else 0, level)
+            result[k] = (1 if self.room >= 1 else 0, level)  # a second try is one more call for a full fleet
         return result
 
     def allowance(self, route: str, share: float) -> float:
