--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -20,7 +20,7 @@
 CHANGE, ENTRY = 0.1, 0.5  # share that a sent weight moved by; of the average, for a newly started host
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
 BUCKETS, MOVED = 4, 9.0  # of time, for a judgement; a move of weight that counts as in or out
-NEAR_PRICE, NEAR_MOST, UNEVEN = 0.05, 0.95, 1.25  # price to keep calls near; most kept; late over far
+NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 DEAD_SHARE, SICK_SHARE = 0.75, 0.25  # dropped above the better hosts: a host goes out; its trial fails
 REST = 5 * SECOND  # first time out, then doubled
 TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
@@ -36,7 +36,6 @@
 AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
 CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
 FALL_GAIN, RISE_GAIN, RISE = 5.0, 4.0, 2.0  # of the way there, in one lag; the most over what levels were
-GAIN, FADE, DRAIN, GROW = 0.3, 0.005, 0.6, 0.5  # best rate answered: rise, fade; least let in, power over it
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
@@ -77,7 +76,6 @@
         self.heard = Ring(width, 3)  # tries, errors, time of the answered
         self.deaf_until = 0  # what is heard until then is of before
         self.factor = 1.0  # what latency has made of its base weight
-        self.latency = 0.0  # as last heard, or the median
         self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
         self.busy, self.busy_at = 0.0, -FRESH  # cores in use, as last told
         self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
@@ -90,7 +88,7 @@
     def __init__(self, number: int, routes: list[int], like: Route, zone: str, group: int = -1) -> None:
         self.number, self.routes, self.like, self.zone = number, routes, like, zone
         self.group, self.only = group, list[Upstream]()  # narrow: of a group of proxies, with these hosts
-        self.far, self.push = 1.0, 1.0  # what hosts elsewhere count there, and how much more than weights say
+        self.far = 1.0  # what hosts elsewhere count there
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
         self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
@@ -122,9 +120,7 @@
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
         self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
         self.loads = [1.0] * 8  # cores in use, by beat
-        self.told: dict[tuple[int, str], int] = {}  # reported time, by proxy and route
-        self.told_to, self.behind = 0, 0  # the most of it, and how far reports have fallen behind
-        self.answered, self.best = Ring(self.width, 2), 0.0  # answered and tried; answered at best lately
+        self.answered = Ring(self.width, 2)  # answered and tried
         # the channel: lines that wait at its stated rate, and those of messages whose answer is overdue
         self.queue, self.overdue, self.drained_at = 0.0, 0.0, now
         self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
@@ -152,7 +148,6 @@
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
             book.pop(proxy, None)
-        self.told.clear()
         for known in (self.proxies, self.bound, self.joined, self.waiting):
             known.pop(proxy, None)
 
@@ -252,8 +247,7 @@
         usual = {size: median(lates) for size, lates in alike.items()}
         for name, up in self.hosts.items():
             middle = usual.get(up.size, median(latency.values()))
-            up.latency = latency.get(name, middle)
-            target = min(CLAMP, max(1 / CLAMP, middle / up.latency))
+            target = min(CLAMP, max(1 / CLAMP, middle / latency.get(name, middle)))
             up.factor += DAMPING * (target - up.factor)
         for table in self.tables:
             self.spill(now, table)
@@ -273,24 +267,18 @@
             up.size = worth[up.kind] * len(known) / sum(known) if up.kind in worth else 1.0
 
     def spill(self, now: int, table: Table) -> None:
-        """Where crossing zones is dear, a zone keeps its calls as far as its weight and latency allow."""
-        if not table.zone:
-            return
-        table.far, sums = 1.0, [[0.0, 0.0], [0.0, 0.0]]  # weight, and weight by latency: near, elsewhere
-        for up in self.hosts.values():
-            side, weight = sums[up.zone != table.zone], self.weight(now, table, up)
-            side[0] += weight
-            side[1] += weight * up.latency
-        (near, near_late), (far, far_late) = sums
+        """Where crossing zones is dear, a zone keeps its calls as far as its hosts' weight allows."""
+        table.far, sides = 1.0, [0.0, 0.0]
+        for up in self.hosts.values() if table.zone else ():
+            sides[up.zone == table.zone] += self.weight(now, table, up)
+        far, near = sides
         if near and far and self.room >= OPEN:  # under overload every host serves all
             rates = [rate for _, rate in self.proxies.values()] or [1.0]
             unseen = max(self.facts.fleet.proxies - len(self.proxies), 0) * sum(rates) / len(rates)
             own = sum(rate for zone, rate in self.proxies.values() if zone == table.zone)
             calls = (own + unseen / len(self.facts.zones)) / (sum(rates) + unseen)
-            ratio = near_late / near * far / far_late if far_late else 1.0
-            table.push = min(20.0, max(1.0, table.push * min(2.0, max(0.7, (ratio / UNEVEN) ** 2))))
             kept = min(NEAR_MOST, near / (near + far) / max(calls, 0.01))
-            table.far = min(1.0, table.push * near * (1 - kept) / (kept * far))
+            table.far = min(1.0, near * (1 - kept) / (kept * far))
 
     def weight(self, now: int, table: Table, up: Upstream) -> float:
         if not self.open_to(table, up) or (up.sick and now < up.out_until) or up.zone in self.cuts:
@@ -534,7 +522,6 @@
 
     def calls_came(self, now: int, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         if proxy in self.proxies and window > 0:
-            self.told[proxy, route] = self.told.get((proxy, route), 0) + window
             rate = calls * SECOND / window
             old = self.rates[route].get(proxy, rate)
             # while throttled, clients that come again swell the count: it stays
@@ -545,11 +532,8 @@
         # what is gone, out or dead says nothing of load
         sums = [u.heard.total(now, 2) for u in self.hosts.values() if u.mode == "in_service" and not u.sick]
         sums = [row for row in sums if row[0] > row[1]]
-        told, self.told_to = self.told_to, max(self.told.values(), default=0)
-        self.behind = max(0, self.behind + BEAT - self.told_to + told) if 0 < told <= self.told_to else 0
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
         answered, tried = self.answered.total(now, 2, back=1)
-        self.best += max((answered - self.best) * GAIN, -self.best * FADE)
         busy = max(self.load_of(now, table) for table in self.wide)
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
@@ -569,19 +553,17 @@
         # load that rises will have risen further when an order shows; at first reports only fill in
         soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 10 * BEAT else busy
         # what is heard now answers to the levels of a while ago
-        lag = min(self.lag + int(mean) + max(0, self.behind - self.width), 30 * BEAT)
+        lag = min(self.lag + int(mean), 30 * BEAT)
         then = min(1.0, sum(self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)) / 3)
-        fit = then * self.best / tried  # what would let in as much as was answered
         # while throttled and cores idle, what is late or dropped is left over from before
         ease = max(good, CUT) * min(1.0, TIGHT / late) if soon > IDLE or self.room >= OPEN else 1.0
         full, was = busy > (FULL if self.room >= 1 else GOOD) or ease * SLACK < 1, self.room
         if full or soon > (SOON if self.room >= 1 else GOOD):
-            # a backlog must not push levels far under what the fleet can do
-            want = max(then * min(1.0, GOOD / soon) * ease, fit * DRAIN)
+            want = then * min(1.0, GOOD / soon) * ease
             self.room = min(self.room, FIRST_CUT if full else 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
-        elif soon < LOW and self.room < OPEN and self.behind <= 2 * self.width:
-            want = min(then * min(LOW / soon, RISE), fit * (LOW / soon) ** GROW)
+        elif soon < LOW and self.room < OPEN:
+            want = then * min(LOW / soon, RISE)
             self.room += max(want - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
         if (was < OPEN) != (self.room < OPEN):
