--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -33,8 +33,8 @@
 JAMMED = 0.7  # stress over which a start is into a jam
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late over SLO time; cores in use, now and as they rise
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
-AHEAD, SLACK = 0.7, 1.15  # of the lag, how far a rise is followed; factor from which late and dropped count
-CUT, FIRST_CUT = 0.4, 0.75  # of what levels were: the least one step steers to; what throttling begins with
+AHEAD = 0.7  # of the lag, how far a rise is followed
+CUT = 0.4  # of what levels were: the least one step steers to
 FALL_GAIN, RISE_GAIN, RISE = 5.0, 4.0, 2.0  # of the way there, in one lag; the most over what levels were
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
@@ -74,7 +74,6 @@
     def __init__(self, width: int) -> None:
         self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
         self.heard = Ring(width, 3)  # tries, errors, time of the answered
-        self.deaf_until = 0  # what is heard until then is of before
         self.factor = 1.0  # what latency has made of its base weight
         self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
         self.busy, self.busy_at = 0.0, -FRESH  # cores in use, as last told
@@ -414,7 +413,7 @@
         load: dict[str, float],
     ) -> None:  # fmt: skip
         up = self.hosts.get(name)
-        if up is not None and now >= up.deaf_until:
+        if up is not None:
             up.heard.add(now, tries, errors, mean * (tries - errors))
             self.answered.add(now, tries - errors, tries)
             self.load_told(now, up, load.get("busy"))
@@ -481,7 +480,6 @@
         for up in probed:
             if up.zone in cuts:
                 up.heard.forget()
-                up.deaf_until = now + self.lag
 
     # Narrow tables: idle hosts that refuse connections get fewer of them, as each proxy uses a few hosts.
 
@@ -551,16 +549,16 @@
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
         self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
         # load that rises will have risen further when an order shows; at first reports only fill in
-        soon = busy + max(rise, 0.0) if busy > IDLE and now > self.born + 10 * BEAT else busy
+        soon = busy + max(rise, 0.0) if busy > IDLE else busy
         # what is heard now answers to the levels of a while ago
         lag = min(self.lag + int(mean), 30 * BEAT)
         then = min(1.0, sum(self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)) / 3)
         # while throttled and cores idle, what is late or dropped is left over from before
         ease = max(good, CUT) * min(1.0, TIGHT / late) if soon > IDLE or self.room >= OPEN else 1.0
-        full, was = busy > (FULL if self.room >= 1 else GOOD) or ease * SLACK < 1, self.room
+        full, was = busy > (FULL if self.room >= 1 else GOOD) or ease < 1, self.room
         if full or soon > (SOON if self.room >= 1 else GOOD):
             want = then * min(1.0, GOOD / soon) * ease
-            self.room = min(self.room, FIRST_CUT if full else 1.0)
+            self.room = min(self.room, 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
         elif soon < LOW and self.room < OPEN:
             want = then * min(LOW / soon, RISE)
