--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -187,8 +187,8 @@
         self._guard(p[1], director.calls_came, self._now, *values)
 
     def _heat(self, director: Director, p: list[str]) -> None:
-        values = (int(p[2]), p[3], int(p[4]), int(p[5]), ticks(p[6]))
-        self._guard(p[1], director.slice_calls_came, self._now, *values)
+        """Slices are not served: their messages are read, so that a malformed one is told, and left alone."""
+        int(p[2]), int(p[4]), int(p[5]), ticks(p[6])
 
     def _confirmed(self, director: Director, p: list[str]) -> None:
         self._guard(p[1], director.mark_answered, self._now, int(p[3]), int(p[2]), ticks(p[4]))
@@ -208,14 +208,14 @@
         self._guard(p[1], director.proxy_left, self._now, int(p[2]))
 
     def _inbox(self, director: Director, p: list[str]) -> None:
-        data = b"" if p[3] == "-" else base64.b64decode(p[3])
-        self._guard(p[1], director.peer_told, self._now, int(p[2]), data)
+        """Directors do not coordinate: what a peer says is read and left alone."""
+        int(p[2]), base64.b64decode(p[3].replace("-", ""), validate=True)
 
     def _leased(self, director: Director, p: list[str]) -> None:
-        self._guard(p[1], director.slice_given, self._now, int(p[2]), p[3] == "1")
+        int(p[2])
 
     def _standing_line(self, director: Director, p: list[str]) -> None:
-        self._guard(p[1], director.slice_line, self._now, int(p[3]), p[2], float(p[4]))
+        int(p[3]), float(p[4])
 
     def _roster_change(self, director: Director, p: list[str]) -> None:
         form = p[4]
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -9,10 +9,10 @@
 
 import math
 import random
-from itertools import accumulate
 from statistics import median
 
 from .host import Facts, Host, Route
+from .ring import Ring, middle
 
 SECOND, BEAT = 10_000, 5_000  # tenths of a millisecond; a beat is between looks at health and levels
 SOLVE_EVERY = 3 * SECOND  # the design's period for weights
@@ -39,41 +39,12 @@
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
-class Ring:
-    """Sums in fixed buckets of time, used again in a ring."""
-
-    def __init__(self, width: int, fields: int) -> None:
-        self.width, self.nothing = width, [0.0] * fields
-        self.forget()
-
-    def forget(self) -> None:
-        self.rows = [(-1, self.nothing)] * BUCKETS
-
-    def add(self, now: int, *values: float) -> None:
-        stamp = now // self.width
-        at, sums = self.rows[stamp % BUCKETS]
-        old = sums if at == stamp else self.nothing
-        self.rows[stamp % BUCKETS] = (stamp, [a + b for a, b in zip(old, values, strict=True)])
-
-    def total(self, now: int, buckets: int = BUCKETS, back: int = 0) -> list[float]:
-        last = now // self.width - back
-        kept = [sums for at, sums in self.rows if last - buckets < at <= last]
-        return [sum(column) for column in zip(*kept, strict=True)] if kept else self.nothing
-
-
-def middle(rows: list[tuple[float, float]]) -> float:
-    """The median of values by weight."""
-    rows, half = sorted(rows), sum(weight for _, weight in rows) / 2
-    reached = accumulate(weight for _, weight in rows)
-    return next(value for (value, _), sofar in zip(rows, reached, strict=True) if sofar >= half)
-
-
 class Upstream:
     """A listed host, as this director knows it."""
 
     def __init__(self, width: int) -> None:
         self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
-        self.heard = Ring(width, 3)  # tries, errors, time of the answered
+        self.heard = Ring(width, BUCKETS, 3)  # tries, errors, time of the answered
         self.factor = 1.0  # what latency has made of its base weight
         self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
         self.busy, self.busy_at = 0.0, -FRESH  # cores in use, as last told
@@ -113,13 +84,13 @@
         self.proxies: dict[int, tuple[str, float]] = {}  # zone, usual calls a second
         self.bound: dict[int, int] = {}  # to the tables of its group, or the wide ones: -1
         self.wide, self.groups = list(self.tables), dict[int, int]()  # groups, while tables are narrow
-        self.narrow_until, self.narrow, self.last = 0, NARROW, len(self.tables)
+        self.narrow_until, self.narrow, self.parts, self.last = 0, NARROW, 1, len(self.tables)
         self.joined: dict[int, tuple[int, float]] = {}  # to be bound: who waits longest, then the busiest
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
         self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
         self.loads = [1.0] * 8  # cores in use, by beat
-        self.answered = Ring(self.width, 2)  # answered and tried
+        self.answered = Ring(self.width, BUCKETS, 2)  # answered and tried
         # the channel: lines that wait at its stated rate, and those of messages whose answer is overdue
         self.queue, self.overdue, self.drained_at = 0.0, 0.0, now
         self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
@@ -140,9 +111,8 @@
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
         self.joined[proxy] = (now // SECOND, -rate)
-        fits = [table.group for table in self.tables if table.group >= 0 and self.near(table, proxy)]
-        if self.narrow_until and fits:
-            self.groups.setdefault(proxy, fits[int(self.chance() * len(fits))])
+        if self.narrow_until:
+            self.groups.setdefault(proxy, int(self.chance() * self.parts))
 
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
@@ -234,7 +204,7 @@
 
     def solve(self, now: int) -> bool:
         """A step of every weight towards base weight x median latency / own latency, among hosts alike."""
-        sums = {n: u.heard.total(now) for n, u in self.hosts.items() if u.mode == "in_service"}
+        sums = {n: u.heard.total(now, BUCKETS) for n, u in self.hosts.items() if u.mode == "in_service"}
         latency = {name: s / (t - e) for name, (t, e, s) in sums.items() if t - e >= 2 and s > 0}
         if not latency or (len(latency) < len(sums) / 2 and now < self.born + SOLVE_EVERY):
             return False
@@ -303,9 +273,8 @@
     def limit(self) -> float:
         """Half the queue, and no more than lets a withdrawal reach all in half of the grace."""
         terms = self.facts.channel
-        reach = self.rate * (self.facts.rules.drain_grace - terms.late_most) - len(self.proxies) * (
-            self.head + 1
-        )
+        reach = self.rate * (self.facts.rules.drain_grace - terms.late_most)
+        reach -= len(self.proxies) * (self.head + 1)
         return min(terms.most_waiting, max(reach, 0.0)) / 2
 
     def charge(self, proxies: list[int], lines: int) -> None:
@@ -436,7 +405,7 @@
 
         Who answers some stays: in one-sided trouble and in a jam the others cannot carry its calls too.
         """
-        ready = [(n, u, u.heard.total(now)) for n, u in self.hosts.items() if u.mode == "in_service"]
+        ready = [(n, u, u.heard.total(now, BUCKETS)) for n, u in self.hosts.items() if u.mode == "in_service"]
         shares = sorted(e / t for _, u, (t, e, _) in ready if t >= 3 and not u.sick)
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
         for name, up, (tries, errors, _) in ready:
@@ -485,36 +454,34 @@
 
     def go_narrow(self, now: int, good: float, busy: float) -> None:
         """Deals hosts and proxies to groups, each with a narrow table in place of each wide one."""
-        self.narrow_until, self.narrow = now + self.narrow, 2 * self.narrow
         self.host.log(f"narrow tables: good {good:.2f}, busy {busy:.2f}")
+        self.narrow_until, self.narrow = now + self.narrow, 2 * self.narrow
         for up in self.hosts.values():  # what failed may have been connections
             up.sick = False
             up.heard.forget()
-        self.tables, group = list(self.wide), 0
-        for zone in dict.fromkeys(table.zone for table in self.wide):
-            wide = [table for table in self.wide if table.zone == zone]
-            proxies = [p for p in self.proxies if self.near(wide[0], p)]
-            near = [u for u in self.hosts.values() if zone in ("", u.zone)]
-            hosts = [[u for u in near if self.open_to(table, u)] for table in wide]
-            parts = max(1, min(max(map(len, hosts)) // FEW, len(proxies)))
-            turn = [*range(parts), *reversed(range(parts))]  # as many proxies and about as much traffic each
+        zones = list(dict.fromkeys(table.zone for table in self.wide))
+        self.parts = max(1, sum(up.mode == "in_service" for up in self.hosts.values()) // (FEW * len(zones)))
+        turn = [*range(self.parts), *reversed(range(self.parts))]
+        for zone in zones:  # as many proxies and about as much traffic to each group
+            proxies = [p for p, (near, _) in self.proxies.items() if zone in ("", near)]
             for k, proxy in enumerate(sorted(proxies, key=lambda p: -self.proxies[p][1])):
-                self.groups[proxy] = group + turn[k % len(turn)]
-            for table, ups in zip(wide, hosts, strict=True):
-                ups.sort(key=lambda u: -u.size * u.factor)
-                for k in range(parts if ups else 0):
-                    self.last += 1
-                    narrow = Table(self.last, table.routes, table.like, zone, group + k)
-                    places = range(k, k + parts * max(FEW, len(ups) // parts), parts)
-                    narrow.only = [ups[place % len(ups)] for place in places]
-                    self.tables.append(narrow)
-            group += parts
+                self.groups[proxy] = turn[k % len(turn)]
+        for table in self.wide:
+            fit = [up for up in self.hosts.values() if self.open_to(table, up)]
+            ups = [up for up in fit if table.zone in ("", up.zone)] or fit
+            ups.sort(key=lambda up: -up.size * up.factor)
+            for k in range(self.parts if ups else 0):
+                self.last += 1
+                narrow = Table(self.last, table.routes, table.like, table.zone, k)
+                places = range(k, max(len(ups), k + 1 + self.parts * (FEW - 1)), self.parts)
+                narrow.only = [ups[place % len(ups)] for place in places]
+                self.tables.append(narrow)
         self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
 
     def go_wide(self, now: int) -> None:
+        self.host.log("wide tables")
         self.narrow_until, self.groups = 0, {}
         self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
-        self.host.log("wide tables")
 
     # Levels and tries: throttle early under overload, least importance first.
 
@@ -628,12 +595,3 @@
         if now >= self.solve_at:
             self.solve_at = now + (SOLVE_EVERY if self.solve(now) else BEAT)
         self.host.after(BEAT, 0)
-
-    # Directors do not coordinate, and deployments with slices are not served: these change nothing.
-
-    def peer_told(self, now: int, peer: int, data: bytes) -> None: ...
-    def slice_given(self, now: int, table: int, given: bool) -> None: ...
-    def slice_line(self, now: int, table: int, name: str, weight: float) -> None: ...
-    def slice_calls_came(
-        self, now: int, table: int, route: str, calls: int, dropped: int, span: int
-    ) -> None: ...
