--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -14,28 +14,29 @@
 from .host import Facts, Host, Route
 from .ring import Ring, middle
 
-SECOND, BEAT = 10_000, 5_000  # tenths of a millisecond; a beat is between looks at health and levels
-SOLVE_EVERY = 3 * SECOND  # the design's period for weights
-DAMPING, CLAMP = 0.5, 2.0  # of the gap to the target, a step; factor of its base that a target stays within
-CHANGE, ENTRY = 0.1, 0.5  # share that a sent weight moved by; of the average, for a newly started host
+# Time, in tenths of a millisecond.
+SECOND, BEAT = 10_000, 5_000  # a beat is between looks at health and levels
+BUCKETS = 4  # of a reporting period or a second, for a judgement of a host
+# Weights: the design's, all open values.
+SOLVE_EVERY, DAMPING = 3 * SECOND, 0.5  # between steps; of the gap to the target, a step
+CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
+CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
-BUCKETS, MOVED = 4, 9.0  # of time, for a judgement; a move of weight that counts as in or out
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
-DEAD_SHARE, SICK_SHARE = 0.75, 0.25  # dropped above the better hosts: a host goes out; its trial fails
-REST = 5 * SECOND  # first time out, then doubled
-TRIAL, TRIAL_CALLS = 0.25, 4  # of its weight, for a host on trial; good answers that end it
-SHUNNED, AGROUND = 8 * SECOND, 0.5  # after a cut changes, and under this share answered, no cold host is used
+# Health, as shares of tries, of hosts and times.
+DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
 KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
-FEW, NARROW = 2, 30 * SECOND  # hosts in a narrow table; how long first, then doubled
-BARRED = 0.4  # under this share answered by idle hosts, connections fail
-TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
-JAMMED = 0.7  # stress over which a start is into a jam
-TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late over SLO time; cores in use, now and as they rise
-GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # levels fall to and rise to; under which late calls are no overload
-AHEAD = 0.7  # of the lag, how far a rise is followed
-CUT = 0.4  # of what levels were: the least one step steers to
-FALL_GAIN, RISE_GAIN, RISE = 5.0, 4.0, 2.0  # of the way there, in one lag; the most over what levels were
+TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
+# Cold hosts are held out: time after a cut or a start, share of all tries answered, stress of a start.
+SHUNNED, AGROUND, JAMMED = 8 * SECOND, 0.5, 0.7
+# Narrow tables: share answered by idle hosts under which they begin, hosts in one, time of the first.
+BARRED, FEW, NARROW = 0.4, 2, 30 * SECOND
+# Levels. Load is cores in use; late is the time of the answered over SLO time; room is the share let in.
+TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late; load, now and as it rises
+GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # load that levels fall to, rise to; under which late is no overload
+AHEAD, CUT, RISE = 0.7, 0.4, 2.0  # of a lag, how far a rise is followed; least and most of one step
+FALL_GAIN, RISE_GAIN = 5.0, 4.0  # of the way there, in one lag
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
@@ -250,14 +251,14 @@
             table.far = min(1.0, near * (1 - kept) / (kept * far))
 
     def weight(self, now: int, table: Table, up: Upstream) -> float:
-        if not self.open_to(table, up) or (up.sick and now < up.out_until) or up.zone in self.cuts:
+        if not self.open_to(table, up) or up.sick or up.zone in self.cuts:
             return 0.0
         far = table.far if up.zone != table.zone else 1.0
         warmth, learnt = self.warmth(now, up), up.factor
         if table.group >= 0 and warmth < 1:
             return 0.0  # too few others to share with
         learnt = min(learnt, 1.0) if warmth < 1 else learnt  # idle as it is, a cold host has its ramp only
-        return up.size * learnt * warmth * (TRIAL if up.sick else 1.0) * far
+        return up.size * learnt * warmth * far
 
     def open_to(self, table: Table, up: Upstream) -> bool:
         like = table.like
@@ -410,17 +411,12 @@
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
         for name, up, (tries, errors, _) in ready:
             share = errors / max(tries, 1.0)
-            if up.sick and now < up.out_until:
-                up.heard.forget()
-            elif up.sick and errors >= 2 and share > usual + SICK_SHARE:
-                up.rest = min(2 * up.rest, 4 * REST)
-                up.out_until = now + up.rest
-                self.host.log(f"{name} fails its trial: {errors:.0f} of {tries:.0f} dropped")
-            elif up.sick and tries - errors >= TRIAL_CALLS:
+            if up.sick and now >= up.out_until:
                 up.sick = False
-                self.host.log(f"{name} is back: {errors:.0f} of {tries:.0f} dropped")
+                up.heard.forget()
+                self.host.log(f"{name} is back")
             elif not up.sick and errors >= 3 and share - usual > DEAD_SHARE and self.spared(up):
-                up.sick, up.out_until = True, now + up.rest
+                up.sick, up.out_until, up.rest = True, now + up.rest, min(2 * up.rest, 4 * REST)
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
     def spared(self, up: Upstream) -> bool:
@@ -493,20 +489,20 @@
             self.rates[route][proxy] = old + (rate - old) * (0.5 if self.room >= OPEN else 0.0)
 
     def gauge(self, now: int) -> None:
-        """Moves the room, the share of the calls' work that is let in, by latency, drops and load."""
+        """Judges by the middle of the tries: what is wrong at some hosts only is for weights and health."""
+        busy = max(self.load_of(now, table) for table in self.wide)
+        if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
+            self.good, self.unsure = 1.0, False  # before the first sums, load that is told says as much
+        rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
+        self.loads[now // BEAT & 7] = busy
+        soon = busy + max(rise, 0.0) if busy > IDLE else busy  # it will have risen when an order shows
         # what is gone, out or dead says nothing of load
         sums = [u.heard.total(now, 2) for u in self.hosts.values() if u.mode == "in_service" and not u.sick]
         sums = [row for row in sums if row[0] > row[1]]
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
         answered, tried = self.answered.total(now, 2, back=1)
-        busy = max(self.load_of(now, table) for table in self.wide)
-        rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
-        self.loads[now // BEAT & 7] = busy
-        if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
-            self.good, self.unsure = 1.0, False  # before the first sums, load that is told says as much
         if not sums or tried == 0 or not any(n for n, _ in calls):
             return  # reports have stopped, or not begun: levels stay
-        # by the middle of the tries: what fails or is late at some hosts only is for weights and health
         mean = middle([(spent / (tries - errors), tries) for tries, errors, spent in sums])
         good = 1 - middle([(errors / tries, tries) for tries, errors, _ in sums])
         late = mean * sum(n for n, _ in calls) / sum(n * slo for n, slo in calls)
@@ -515,15 +511,20 @@
         good = good if late > TIGHT else 1.0  # drops where what is answered is in time are no overload
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
         self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
-        # load that rises will have risen further when an order shows; at first reports only fill in
-        soon = busy + max(rise, 0.0) if busy > IDLE else busy
+        was, lag = self.room, min(self.lag + int(mean), 30 * BEAT)
+        self.steer(now, lag, late, good, busy, soon)
+        if (was < OPEN) != (self.room < OPEN):
+            figures = f"late {late:.2f}, good {good:.2f}, busy {busy:.2f}"
+            self.host.log(f"room {was:.2f} to {self.room:.2f}: {figures}")
+
+    def steer(self, now: int, lag: int, late: float, good: float, busy: float, soon: float) -> None:
+        """Moves the room, the share of the calls' work that is let in."""
         # what is heard now answers to the levels of a while ago
-        lag = min(self.lag + int(mean), 30 * BEAT)
         then = min(1.0, sum(self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)) / 3)
         # while throttled and cores idle, what is late or dropped is left over from before
         ease = max(good, CUT) * min(1.0, TIGHT / late) if soon > IDLE or self.room >= OPEN else 1.0
-        full, was = busy > (FULL if self.room >= 1 else GOOD) or ease < 1, self.room
-        if full or soon > (SOON if self.room >= 1 else GOOD):
+        full, near = (FULL, SOON) if self.room >= 1 else (GOOD, GOOD)
+        if busy > full or soon > near or ease < 1:
             want = then * min(1.0, GOOD / soon) * ease
             self.room = min(self.room, 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
@@ -531,10 +532,6 @@
             want = then * min(LOW / soon, RISE)
             self.room += max(want - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
-        if (was < OPEN) != (self.room < OPEN):
-            self.host.log(
-                f"room {was:.2f} to {self.room:.2f}: late {late:.2f}, good {good:.2f}, busy {busy:.2f}"
-            )
 
     def load_of(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight."""
