--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -11,8 +11,8 @@
 import random
 from statistics import median
 
-from .host import Facts, Host, Route
-from .ring import Ring, middle
+from .host import Facts, Host
+from .state import Ring, Table, Upstream, cap, middle
 
 # Time, in tenths of a millisecond.
 SECOND, BEAT = 10_000, 5_000  # a beat is between looks at health and levels
@@ -40,31 +40,6 @@
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
-class Upstream:
-    """A listed host, as this director knows it."""
-
-    def __init__(self, width: int) -> None:
-        self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
-        self.heard = Ring(width, BUCKETS, 3)  # tries, errors, time of the answered
-        self.factor = 1.0  # what latency has made of its base weight
-        self.sick, self.out_until, self.rest = False, 0, REST  # out until then, then on trial
-        self.busy, self.busy_at = 0.0, -FRESH  # cores in use, as last told
-        self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
-        self.withdrawn = False  # as ordered
-
-
-class Table:
-    """A shared table: the routes that may use the same hosts, for all proxies or those of a zone."""
-
-    def __init__(self, number: int, routes: list[int], like: Route, zone: str, group: int = -1) -> None:
-        self.number, self.routes, self.like, self.zone = number, routes, like, zone
-        self.group, self.only = group, list[Upstream]()  # narrow: of a group of proxies, with these hosts
-        self.far = 1.0  # what hosts elsewhere count there
-        self.sent: dict[str, float] = {}
-        self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
-        self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
-
-
 class Director:
     def __init__(self, host: Host, facts: Facts, seed: int, now: int) -> None:
         self.host, self.facts, self.born = host, facts, now
@@ -339,12 +314,12 @@
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
     ) -> None:
         if name not in self.hosts:
-            self.hosts[name] = Upstream(self.width)
+            self.hosts[name] = Upstream(self.width, BUCKETS)
             self.hosts[name].started = started if now - started >= self.facts.rules.cold else 0
         up = self.hosts[name]
         if started != up.started:  # a new process: nothing heard of the old one holds
             up.heard.forget()
-            up.factor, up.sick, up.rest = ENTRY, False, REST
+            up.factor, up.sick, up.rest = ENTRY, False, 0
         if self.facts.weights in ("nominal", "rough"):
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
@@ -393,7 +368,7 @@
             up.busy, up.busy_at = busy, now
 
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
-        up = self.hosts.get(name) or Upstream(self.width)  # of before a restart, it may be unknown
+        up = self.hosts.get(name) or Upstream(self.width, BUCKETS)  # of before a restart, maybe unknown
         up.missed = outcome in (TIMED_OUT, DOWN)
         # a probe that times out tells of a full host only if the calls that it answers are late too
         tries, errors, spent = up.heard.total(now, 2)
@@ -416,7 +391,8 @@
                 up.heard.forget()
                 self.host.log(f"{name} is back")
             elif not up.sick and errors >= 3 and share - usual > DEAD_SHARE and self.spared(up):
-                up.sick, up.out_until, up.rest = True, now + up.rest, min(2 * up.rest, 4 * REST)
+                up.rest = min(2 * up.rest, 4 * REST) or REST
+                up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
     def spared(self, up: Upstream) -> bool:
@@ -554,23 +530,13 @@
             left -= min(part, 1.0) * demand[route.name]
         result = {}
         for k in table.routes:
-            share, by_rate = shares[routes[k].name], self.facts.fleet.admit == "rps"
-            level = self.allowance(routes[k].name, share) if by_rate else min(share, 1.0)
+            share, level = shares[routes[k].name], min(shares[routes[k].name], 1.0)
+            if self.facts.fleet.admit == "rps":  # calls a second at each proxy, small ones first
+                rates = list(self.rates[routes[k].name].values())
+                level = max(cap(rates, share), FLOOR) if share < OPEN and rates else UNLIMITED
             result[k] = (1 if self.room >= 1 else 0, level)  # a second try is one more call for a full fleet
         return result
 
-    def allowance(self, route: str, share: float) -> float:
-        """Calls a second at each proxy, the same for all, that let in this share of the route's calls."""
-        rates = sorted(self.rates[route].values())
-        left = share * sum(rates)
-        if share >= OPEN or not rates:
-            return UNLIMITED
-        for i, rate in enumerate(rates):
-            if rate * (len(rates) - i) >= left:
-                return max(left / (len(rates) - i), 0.1)
-            left -= rate
-        return max(rates[-1] * share, 0.1)
-
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
--- /dev/null
+++ b/willowhook/state.py
@@ -0,0 +1,71 @@
+"""What a director holds of hosts and tables, and the arithmetic on it: no decisions, no tuned values."""
+
+from __future__ import annotations
+
+from itertools import accumulate
+
+from .host import Route
+
+
+class Ring:
+    """Sums in fixed buckets of time, used again in a ring."""
+
+    def __init__(self, width: int, buckets: int, fields: int) -> None:
+        self.width, self.buckets, self.nothing = width, buckets, [0.0] * fields
+        self.forget()
+
+    def forget(self) -> None:
+        self.rows = [(-1, self.nothing)] * self.buckets
+
+    def add(self, now: int, *values: float) -> None:
+        stamp = now // self.width
+        at, sums = self.rows[stamp % self.buckets]
+        old = sums if at == stamp else self.nothing
+        self.rows[stamp % self.buckets] = (stamp, [a + b for a, b in zip(old, values, strict=True)])
+
+    def total(self, now: int, buckets: int, back: int = 0) -> list[float]:
+        last = now // self.width - back
+        kept = [sums for at, sums in self.rows if last - buckets < at <= last]
+        return [sum(column) for column in zip(*kept, strict=True)] if kept else self.nothing
+
+
+def middle(rows: list[tuple[float, float]]) -> float:
+    """The median of values by weight; there must be one."""
+    rows, half = sorted(rows), sum(weight for _, weight in rows) / 2
+    reached = accumulate(weight for _, weight in rows)
+    return next(value for (value, _), so_far in zip(rows, reached, strict=True) if so_far >= half)
+
+
+def cap(values: list[float], share: float) -> float:
+    """What all values are cut down to for this share of their sum to be left; the smallest stay whole."""
+    left, rows = share * sum(values), sorted(values)
+    for i, value in enumerate(rows):
+        if value * (len(rows) - i) >= left:
+            return left / (len(rows) - i)
+        left -= value
+    return rows[-1] * share if rows else 0.0
+
+
+class Upstream:
+    """A listed host, as this director knows it."""
+
+    def __init__(self, width: int, buckets: int) -> None:
+        self.mode, self.started, self.size, self.kind, self.zone = "", 0, 1.0, "", ""
+        self.heard = Ring(width, buckets, 3)  # tries, errors, time of the answered
+        self.factor = 1.0  # what latency has made of its base weight
+        self.sick, self.out_until, self.rest = False, 0, 0  # out until then; how long the last time
+        self.busy, self.busy_at = 0.0, -(1 << 40)  # cores in use, as last told
+        self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
+        self.withdrawn = False  # as ordered
+
+
+class Table:
+    """A shared table: routes that may use the same hosts, for all proxies, a zone's or a group's."""
+
+    def __init__(self, number: int, routes: list[int], like: Route, zone: str, group: int = -1) -> None:
+        self.number, self.routes, self.like, self.zone = number, routes, like, zone
+        self.group, self.only = group, list[Upstream]()  # narrow: of a group of proxies, with these hosts
+        self.far = 1.0  # what hosts elsewhere count there
+        self.sent: dict[str, float] = {}
+        self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
+        self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
