No half of a table kept from judgement, steps of any size, levels filled from a floor up

The better quarter still bounds who goes out, and the last hosts of a table are used however they fare.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -25,7 +25,7 @@
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
-KEEP, CUT_SHARE = 0.5, 0.7  # of a table's hosts, what judgement leaves; of a zone's, missed probes: it is cut
+CUT_SHARE = 0.7  # of a zone's hosts, those that missed their last probe: it is cut
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
 # Cold hosts are held out: time after a cut or a start, share of all tries answered, stress of a start.
@@ -35,8 +35,7 @@
 # Levels. Load is cores in use; late is the time of the answered over SLO time; room is the share let in.
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late; load, now and as it rises
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # load that levels fall to, rise to; under which late is no overload
-AHEAD, CUT, RISE = 0.7, 0.4, 2.0  # of a lag, how far a rise is followed; least and most of one step
-FALL_GAIN, RISE_GAIN = 5.0, 4.0  # of the way there, in one lag
+AHEAD, FALL_GAIN, RISE_GAIN = 0.7, 5.0, 4.0  # in one lag: how far a rise is followed, of the way there
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
@@ -291,8 +290,7 @@
                 self.shifted.remove(name)
                 continue
             tables = [table for table in self.tables if name in table.sent]
-            users = {p for table in tables for p in self.users(table)}
-            holders = [p for p in self.proxies if p in self.joined or p in users]
+            holders = [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
             if self.load() + len(holders) * (self.head + 1) <= most:
                 for table in [] if out else tables:  # what the old process was worth may be too much
                     self.line(table, self.users(table), name, self.weight(now, table, up))
@@ -390,20 +388,11 @@
                 up.sick = False
                 up.heard.forget()
                 self.host.log(f"{name} is back")
-            elif not up.sick and errors >= 3 and share - usual > DEAD_SHARE and self.spared(up):
+            elif not up.sick and errors >= 3 and share - usual > DEAD_SHARE:
                 up.rest = min(2 * up.rest, 4 * REST) or REST
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
 
-    def spared(self, up: Upstream) -> bool:
-        """Whether every table keeps enough other hosts if this one goes out."""
-        for table in self.tables:
-            others = [u for u in self.hosts.values() if u is not up and self.open_to(table, u)]
-            well = sum(not u.sick and u.zone not in self.cuts for u in others)
-            if self.open_to(table, up) and well < max(2, KEEP * (len(others) + 1)):
-                return False
-        return True
-
     def find_cuts(self, now: int) -> None:
         """Hosts of a zone that miss their probes together, while near ones answer, cannot be reached."""
         ready = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
@@ -498,15 +487,14 @@
         # what is heard now answers to the levels of a while ago
         then = min(1.0, sum(self.rooms[(now - lag) // BEAT + i & 31] for i in (-1, 0, 1)) / 3)
         # while throttled and cores idle, what is late or dropped is left over from before
-        ease = max(good, CUT) * min(1.0, TIGHT / late) if soon > IDLE or self.room >= OPEN else 1.0
+        ease = good * min(1.0, TIGHT / late) if soon > IDLE or self.room >= OPEN else 1.0
         full, near = (FULL, SOON) if self.room >= 1 else (GOOD, GOOD)
         if busy > full or soon > near or ease < 1:
             want = then * min(1.0, GOOD / soon) * ease
             self.room = min(self.room, 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
         elif soon < LOW and self.room < OPEN:
-            want = then * min(LOW / soon, RISE)
-            self.room += max(want - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
+            self.room += max(then * LOW / soon - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
 
     def load_of(self, now: int, table: Table) -> float:
@@ -520,20 +508,18 @@
     def levels(self, table: Table) -> dict[int, tuple[int, float]]:
         routes = self.facts.routes
         demand = {r.name: r.slo_time * sum(self.rates[r.name].values()) for r in routes}
-        left = self.room * sum(demand.values())
-        shares: dict[str, float] = {}
-        order = sorted(routes, key=lambda r: -r.importance / r.slo_time)
-        for i, route in enumerate(order):
-            keep = FLOOR * sum(demand[r.name] for r in order[i + 1 :])
-            part = max(FLOOR, (left - keep) / demand[route.name]) if demand[route.name] > 0 else OPEN
-            shares[route.name] = part if (part < 1 or route is order[-1]) and self.room < OPEN else OPEN
-            left -= min(part, 1.0) * demand[route.name]
+        left = (self.room - FLOOR) * sum(demand.values())
+        shares = dict.fromkeys(demand, FLOOR)
+        for route in sorted(routes, key=lambda r: -r.importance / r.slo_time):
+            part = min(max(left, 0.0), (1 - FLOOR) * demand[route.name])
+            shares[route.name] += part / demand[route.name] if demand[route.name] else 1.0
+            left -= part
         result = {}
         for k in table.routes:
-            share, level = shares[routes[k].name], min(shares[routes[k].name], 1.0)
+            share = level = shares[routes[k].name]
             if self.facts.fleet.admit == "rps":  # calls a second at each proxy, small ones first
                 rates = list(self.rates[routes[k].name].values())
-                level = max(cap(rates, share), FLOOR) if share < OPEN and rates else UNLIMITED
+                level = max(cap(rates, share), FLOOR) if share < 0.999 and rates else UNLIMITED
             result[k] = (1 if self.room >= 1 else 0, level)  # a second try is one more call for a full fleet
         return result
 
