--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -48,7 +48,7 @@
         self.probing = facts.probes and facts.fleet.load_reports == "probe"
         self.hosts: dict[str, Upstream] = {}
         self.cuts: list[str] = []  # zones that cannot be reached from here
-        self.shunned, self.unsure = 0, facts.fleet.strikes > 0  # proxies may keep away from hosts that failed
+        self.shunned = now + SHUNNED if facts.fleet.strikes else 0  # proxies may avoid some
         groups: dict[tuple[object, ...], list[int]] = {}
         for k, route in enumerate(facts.routes):
             near = route.own_zone or facts.fleet.cross_zone_price >= NEAR_PRICE
@@ -74,9 +74,8 @@
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
         self.head = int(facts.channel.head_lines) + 1  # lines that a message costs, its mark with it
         self.rate = facts.channel.lines_per_s / SECOND
-        self.pace = self.rate * TUNING_RATE  # lines a tick for tables
-        self.mark, self.order_after, self.send_after = 0, 0, now
-        self.solve_at, self.shifted = now, [""][:0]  # shifted: may have to be withdrawn
+        self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
+        self.shifted: dict[str, None] = {}  # hosts that may have to be withdrawn or readmitted
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -109,16 +108,16 @@
         for proxy in sorted(self.joined, key=self.joined.__getitem__):
             if self.load() >= limit:
                 break
-            for table in self.tables_of(proxy, self.groups.get(proxy, -1)):
+            self.bound[proxy] = self.groups.get(proxy, -1)
+            for table in [t for t in self.tables if t.group == self.bound[proxy] and self.near(t, proxy)]:
                 self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
                 self.charge([proxy], 2 + len(table.sent) + len(table.levels))
                 table.owed = dict.fromkeys(table.sent)
-            self.bound[proxy] = self.groups.get(proxy, -1)
             del self.joined[proxy]
         if now >= self.order_after and self.load() < limit / 2:
             before = self.load()
             self.tune(now, self.tables, limit)
-            self.order_after = now + max(BEAT, int((self.load() - before) / self.pace))
+            self.order_after = now + max(BEAT, int((self.load() - before) / (self.rate * TUNING_RATE)))
         self.send(now)
 
     def tune(self, now: int, tables: list[Table], limit: float) -> None:
@@ -163,9 +162,6 @@
     def users(self, table: Table) -> list[int]:
         return [p for p, group in self.bound.items() if group == table.group and self.near(table, p)]
 
-    def tables_of(self, proxy: int, group: int) -> list[Table]:
-        return [t for t in self.tables if t.group == group and self.near(t, proxy)]
-
     def near(self, table: Table, proxy: int) -> bool:
         return table.zone in ("", self.proxies[proxy][0])
 
@@ -190,8 +186,8 @@
             alike.setdefault(self.hosts[name].size, []).append(late)
         usual = {size: median(lates) for size, lates in alike.items()}
         for name, up in self.hosts.items():
-            middle = usual.get(up.size, median(latency.values()))
-            target = min(CLAMP, max(1 / CLAMP, middle / latency.get(name, middle)))
+            mates = usual.get(up.size, median(latency.values()))
+            target = min(CLAMP, max(1 / CLAMP, mates / latency.get(name, mates)))
             up.factor += DAMPING * (target - up.factor)
         for table in self.tables:
             self.spill(now, table)
@@ -281,23 +277,19 @@
 
     def guard(self, now: int) -> None:
         """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
+        most, ups = self.facts.channel.most_waiting, self.hosts
+        shifted = [name for name in self.shifted if ups[name].withdrawn == (ups[name].mode == "in_service")]
+        self.shifted = dict.fromkeys(sorted(shifted, key=lambda name: ups[name].withdrawn))
         # while a round of messages waits, more of the same gather: a message costs more than its line
-        names, most = self.shifted if self.load() < self.limit() else [], self.facts.channel.most_waiting
-        for name in sorted(names, key=lambda name: self.hosts[name].mode == "in_service"):
-            up = self.hosts[name]
-            out = up.mode != "in_service"
-            if out == up.withdrawn:
-                self.shifted.remove(name)
-                continue
-            tables = [table for table in self.tables if name in table.sent]
+        for name in self.shifted if self.load() < self.limit() else ():
+            up, tables = ups[name], [table for table in self.tables if name in table.sent]
             holders = [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
-            if self.load() + len(holders) * (self.head + 1) <= most:
-                for table in [] if out else tables:  # what the old process was worth may be too much
+            if self.load() + len(holders) * (self.head + 1 + len(tables)) <= most:
+                for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
                     self.line(table, self.users(table), name, self.weight(now, table, up))
-                self.host.withdraw(name, out)
+                up.withdrawn = not up.withdrawn
+                self.host.withdraw(name, up.withdrawn)
                 self.charge(holders, 1)
-                self.shifted.remove(name)
-                up.withdrawn = out
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 if table.sent:
@@ -322,13 +314,13 @@
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
         self.listing.append(name)
-        self.shifted.append(name)
+        self.shifted[name] = None
 
     def list_ended(self, now: int) -> None:
         here = set(self.listing)
         for name in [n for n in self.hosts if n not in here] if self.whole else ():
             self.hosts[name].mode = "terminated"
-            self.shifted.append(name)
+            self.shifted[name] = None
         self.order_after = now
 
     def list_lost(self, now: int) -> None:
@@ -345,7 +337,7 @@
         if not self.cold(now, up):
             return 1.0
         # in a jam and after a cut proxies shun the hosts that failed them, and a cold one gets it all
-        held = self.good <= AGROUND or now < max(self.shunned, self.unsure * (self.born + SHUNNED))
+        held = self.good <= AGROUND or now < self.shunned
         start, grown = self.facts.rules.start_capacity, max(now - up.started, 0) / self.facts.rules.cold
         return 0.0 if held else start + (1 - start) * grown
 
@@ -359,11 +351,8 @@
         if up is not None:
             up.heard.add(now, tries, errors, mean * (tries - errors))
             self.answered.add(now, tries - errors, tries)
-            self.load_told(now, up, load.get("busy"))
-
-    def load_told(self, now: int, up: Upstream, busy: float | None) -> None:
-        if busy is not None:
-            up.busy, up.busy_at = busy, now
+            if "busy" in load:
+                up.busy, up.busy_at = load["busy"], now
 
     def probe_done(self, now: int, name: str, outcome: int, elapsed: int, load: dict[str, float]) -> None:
         up = self.hosts.get(name) or Upstream(self.width, BUCKETS)  # of before a restart, maybe unknown
@@ -371,8 +360,9 @@
         # a probe that times out tells of a full host only if the calls that it answers are late too
         tries, errors, spent = up.heard.total(now, 2)
         late = spent > (tries - errors) * TIGHT * min(r.slo_time for r in self.facts.routes)
-        full = outcome == TIMED_OUT and (not self.stress or late)
-        self.load_told(now, up, 1.0 if full and up.zone not in self.cuts else load.get("busy"))
+        full = outcome == TIMED_OUT and (late or not self.stress) and up.zone not in self.cuts
+        if full or "busy" in load:
+            up.busy, up.busy_at = load.get("busy", 1.0), now
 
     def look(self, now: int) -> None:
         """Takes out hosts that drop nearly all where others do not; gives those that rested a trial.
@@ -395,9 +385,8 @@
 
     def find_cuts(self, now: int) -> None:
         """Hosts of a zone that miss their probes together, while near ones answer, cannot be reached."""
-        ready = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
-        # those just started answer whatever the rest does
-        probed = [u for u in ready if not self.cold(now, u)]
+        probed = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
+        probed = [u for u in probed if not self.cold(now, u)]  # these answer whatever the rest does
         missed = {zone: [u.missed for u in probed if u.zone == zone] for zone in self.facts.zones}
         cuts = [zone for zone, m in missed.items() if len(m) > 1 and sum(m) > CUT_SHARE * len(m)]
         near = missed.get(self.facts.zone, [])
@@ -439,11 +428,6 @@
                 self.tables.append(narrow)
         self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
 
-    def go_wide(self, now: int) -> None:
-        self.host.log("wide tables")
-        self.narrow_until, self.groups = 0, {}
-        self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
-
     # Levels and tries: throttle early under overload, least importance first.
 
     def calls_came(self, now: int, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
@@ -457,7 +441,8 @@
         """Judges by the middle of the tries: what is wrong at some hosts only is for weights and health."""
         busy = max(self.load_of(now, table) for table in self.wide)
         if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
-            self.good, self.unsure = 1.0, False  # before the first sums, load that is told says as much
+            self.good = 1.0  # before the first sums, load that is told says as much
+            self.shunned *= self.shunned > self.born + SHUNNED  # no more doubt of the start
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
         soon = busy + max(rise, 0.0) if busy > IDLE else busy  # it will have risen when an order shows
@@ -474,13 +459,13 @@
         if max(good, answered / tried) < BARRED and busy < GOOD and late < TIGHT and not self.narrow_until:
             self.go_narrow(now, good, busy)
         good = good if late > TIGHT else 1.0  # drops where what is answered is in time are no overload
+        if not self.stress and late + 1 - good <= JAMMED:
+            self.shunned *= self.shunned > self.born + SHUNNED  # it has not started into a jam
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
-        self.unsure = self.unsure and self.stress > JAMMED  # it may have started into a jam
         was, lag = self.room, min(self.lag + int(mean), 30 * BEAT)
         self.steer(now, lag, late, good, busy, soon)
         if (was < OPEN) != (self.room < OPEN):
-            figures = f"late {late:.2f}, good {good:.2f}, busy {busy:.2f}"
-            self.host.log(f"room {was:.2f} to {self.room:.2f}: {figures}")
+            self.host.log(f"room {was:.2f} to {self.room:.2f}: {late=:.2f}, {good=:.2f}, {busy=:.2f}")
 
     def steer(self, now: int, lag: int, late: float, good: float, busy: float, soon: float) -> None:
         """Moves the room, the share of the calls' work that is let in."""
@@ -499,11 +484,11 @@
 
     def load_of(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight."""
-        ups = [u for u in self.hosts.values() if self.open_to(table, u) and not u.sick]
+        ups = [u for u in self.hosts.values() if not u.sick and self.open_to(table, u)]
         ups = [u for u in ups if now - u.busy_at < FRESH]
-        rows = [(u.size * u.factor * max(self.warmth(now, u), FLOOR), u.busy) for u in ups]
+        rows = [(u.busy, u.size * u.factor * max(self.warmth(now, u), FLOOR)) for u in ups]
         unknown = GOOD if self.facts.fleet.load_reports == "none" else IDLE
-        return max(sum(w * b for w, b in rows) / sum(w for w, _ in rows), 0.1) if rows else unknown
+        return max(sum(b * w for b, w in rows) / sum(w for _, w in rows), 0.1) if rows else unknown
 
     def levels(self, table: Table) -> dict[int, tuple[int, float]]:
         routes = self.facts.routes
@@ -526,8 +511,7 @@
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
-        books = self.waiting.values()
-        self.overdue = sum(lines for book in books for _, lines, due in book if due < now)
+        self.overdue = sum(lines for book in self.waiting.values() for _, lines, due in book if due < now)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
@@ -538,7 +522,9 @@
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
         if 0 < self.narrow_until <= now:
-            self.go_wide(now)
+            self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
+            self.narrow_until, self.groups = 0, {}
+            self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
         if not self.narrow_until and not self.joined:
             self.tables = list(self.wide)
         if now >= self.solve_at:
