--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -22,6 +22,7 @@
 CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
+NEARLY = 0.95  # of the lines that may wait, the most that withdrawals fill
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -111,7 +112,8 @@
             self.bound[proxy] = self.groups.get(proxy, -1)
             for table in [t for t in self.tables if t.group == self.bound[proxy] and self.near(t, proxy)]:
                 self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
-                self.charge([proxy], 2 + len(table.sent) + len(table.levels))
+                out = sum(self.hosts[name].withdrawn for name in table.sent)
+                self.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
                 table.owed = dict.fromkeys(table.sent)
             del self.joined[proxy]
         if now >= self.order_after and self.load() < limit / 2:
@@ -277,14 +279,15 @@
 
     def guard(self, now: int) -> None:
         """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
-        most, ups = self.facts.channel.most_waiting, self.hosts
+        most, ups = self.facts.channel.most_waiting * NEARLY, self.hosts
         shifted = [name for name in self.shifted if ups[name].withdrawn == (ups[name].mode == "in_service")]
         self.shifted = dict.fromkeys(sorted(shifted, key=lambda name: ups[name].withdrawn))
         # while a round of messages waits, more of the same gather: a message costs more than its line
         for name in self.shifted if self.load() < self.limit() else ():
             up, tables = ups[name], [table for table in self.tables if name in table.sent]
             holders = [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
-            if self.load() + len(holders) * (self.head + 1 + len(tables)) <= most:
+            heads = self.head * sum(p not in self.moment for p in holders)
+            if self.load() + heads + len(holders) * (1 + up.withdrawn * len(tables)) <= most:
                 for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
                     self.line(table, self.users(table), name, self.weight(now, table, up))
                 up.withdrawn = not up.withdrawn
