--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -37,6 +37,7 @@
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late; load, now and as it rises
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # load that levels fall to, rise to; under which late is no overload
 AHEAD, FALL_GAIN, RISE_GAIN = 0.7, 5.0, 4.0  # in one lag: how far a rise is followed, of the way there
+RISE = 1.5  # the most that levels grow to, over what they were
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
@@ -482,7 +483,7 @@
             self.room = min(self.room, 1.0)
             self.room += min(want - self.room, 0.0) * min(FALL_GAIN * BEAT / lag, 1.0)
         elif soon < LOW and self.room < OPEN:
-            self.room += max(then * LOW / soon - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
+            self.room += max(then * min(LOW / soon, RISE) - self.room, 0.0) * min(RISE_GAIN * BEAT / lag, 1.0)
         self.room = max(self.room, FLOOR) if self.room < OPEN * 0.97 else OPEN
 
     def load_of(self, now: int, table: Table) -> float:
