--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -22,7 +22,7 @@
 CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
-NEARLY = 0.95  # of the lines that may wait, the most that withdrawals fill
+NEARLY, OF_LATE = 0.95, 10 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -37,7 +37,7 @@
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late; load, now and as it rises
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # load that levels fall to, rise to; under which late is no overload
 AHEAD, FALL_GAIN, RISE_GAIN = 0.7, 5.0, 4.0  # in one lag: how far a rise is followed, of the way there
-RISE = 1.5  # the most that levels grow to, over what they were
+RISE = 1.5  # the most that levels grow to in one lag, over what they were
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
@@ -78,6 +78,7 @@
         self.rate = facts.channel.lines_per_s / SECOND
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
         self.shifted: dict[str, None] = {}  # hosts that may have to be withdrawn or readmitted
+        self.remind_at = 0  # when who is still not bound is told again of hosts that went of late
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -86,6 +87,7 @@
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
+        self.remind_at = self.remind_at if self.joined else now + self.facts.rules.drain_grace // 2
         self.joined[proxy] = (now // SECOND, -rate)
         if self.narrow_until:
             self.groups.setdefault(proxy, int(self.chance() * self.parts))
@@ -291,13 +293,12 @@
             if self.load() + heads + len(holders) * (1 + up.withdrawn * len(tables)) <= most:
                 for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
                     self.line(table, self.users(table), name, self.weight(now, table, up))
-                up.withdrawn = not up.withdrawn
+                up.withdrawn, up.shifted_at = not up.withdrawn, now
                 self.host.withdraw(name, up.withdrawn)
                 self.charge(holders, 1)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
-                if table.sent:
-                    table.only = []  # a narrow one that lost its hosts
+                table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
                 self.spill(now, table)
                 self.tune(now, [table], most)
 
@@ -400,9 +401,6 @@
             self.host.log(f"zones cut off: {' '.join(cuts) or 'none'}, of {len(probed)} hosts probed")
             self.shunned = now + SHUNNED if self.facts.fleet.strikes else 0
         self.cuts = cuts
-        for up in probed:
-            if up.zone in cuts:
-                up.heard.forget()
 
     # Narrow tables: idle hosts that refuse connections get fewer of them, as each proxy uses a few hosts.
 
@@ -525,6 +523,11 @@
                 self.host.probe(name)
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
+        if self.joined and now >= self.remind_at:  # withdrawals were lost with the streams of before
+            self.remind_at = now + self.facts.rules.drain_grace // 2
+            for name, up in self.hosts.items():
+                if up.withdrawn and now - up.shifted_at < OF_LATE:
+                    up.withdrawn, self.shifted[name] = False, None
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -56,7 +56,7 @@
         self.sick, self.out_until, self.rest = False, 0, 0  # out until then; how long the last time
         self.busy, self.busy_at = 0.0, -(1 << 40)  # cores in use, as last told
         self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
-        self.withdrawn = False  # as ordered
+        self.withdrawn, self.shifted_at = False, 0  # as ordered, and when
 
 
 class Table:
