Told again after a quarter of the grace, once a wave of joins

A message there takes a second of queue and up to a second of way, so half of the grace came too late.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -15,7 +15,7 @@
 from .state import Ring, Table, Upstream, cap, middle
 
 # Time, in tenths of a millisecond.
-SECOND, BEAT = 10_000, 5_000  # a beat is between looks at health and levels
+SECOND, BEAT, NEVER = 10_000, 5_000, 1 << 60  # a beat is between looks at health and levels
 BUCKETS = 4  # of a reporting period or a second, for a judgement of a host
 # Weights: the design's, all open values.
 SOLVE_EVERY, DAMPING = 3 * SECOND, 0.5  # between steps; of the gap to the target, a step
@@ -78,7 +78,7 @@
         self.rate = facts.channel.lines_per_s / SECOND
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
         self.shifted: dict[str, None] = {}  # hosts that may have to be withdrawn or readmitted
-        self.remind_at = 0  # when who is still not bound is told again of hosts that went of late
+        self.remind_at = NEVER  # when who is still not bound is told again of hosts that went of late
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -87,7 +87,7 @@
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
-        self.remind_at = self.remind_at if self.joined else now + self.facts.rules.drain_grace // 2
+        self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4)
         self.joined[proxy] = (now // SECOND, -rate)
         if self.narrow_until:
             self.groups.setdefault(proxy, int(self.chance() * self.parts))
@@ -524,7 +524,7 @@
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
         if self.joined and now >= self.remind_at:  # withdrawals were lost with the streams of before
-            self.remind_at = now + self.facts.rules.drain_grace // 2
+            self.remind_at = NEVER
             for name, up in self.hosts.items():
                 if up.withdrawn and now - up.shifted_at < OF_LATE:
                     up.withdrawn, self.shifted[name] = False, None
