--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -22,7 +22,7 @@
 CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
-NEARLY, OF_LATE = 0.95, 10 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
+NEARLY, OF_LATE = 0.95, 5 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -108,7 +108,7 @@
         self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
         self.drained_at = now
         self.guard(now)
-        limit = self.limit()
+        limit = 0.0 if self.shifted else self.limit()  # what keeps rules waits for nothing else
         for proxy in sorted(self.joined, key=self.joined.__getitem__):
             if self.load() >= limit:
                 break
@@ -247,11 +247,11 @@
         return self.queue + self.overdue
 
     def limit(self) -> float:
-        """Half the queue, and no more than lets a withdrawal reach all in half of the grace."""
+        """A third of the queue, and no more than lets withdrawals reach all the proxies there are in time."""
         terms = self.facts.channel
         reach = self.rate * (self.facts.rules.drain_grace - terms.late_most)
-        reach -= len(self.proxies) * (self.head + 1)
-        return min(terms.most_waiting, max(reach, 0.0)) / 2
+        reach -= self.facts.fleet.proxies * (self.head + 1)
+        return min(terms.most_waiting, max(reach, 0.0)) / 3
 
     def charge(self, proxies: list[int], lines: int) -> None:
         for proxy in proxies:
@@ -282,20 +282,23 @@
 
     def guard(self, now: int) -> None:
         """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
-        most, ups = self.facts.channel.most_waiting * NEARLY, self.hosts
+        most, ups, left = self.facts.channel.most_waiting * NEARLY, self.hosts, []
         shifted = [name for name in self.shifted if ups[name].withdrawn == (ups[name].mode == "in_service")]
-        self.shifted = dict.fromkeys(sorted(shifted, key=lambda name: ups[name].withdrawn))
         # while a round of messages waits, more of the same gather: a message costs more than its line
-        for name in self.shifted if self.load() < self.limit() else ():
+        gather = self.load() >= self.limit()
+        for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
             up, tables = ups[name], [table for table in self.tables if name in table.sent]
             holders = [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
             heads = self.head * sum(p not in self.moment for p in holders)
-            if self.load() + heads + len(holders) * (1 + up.withdrawn * len(tables)) <= most:
-                for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
-                    self.line(table, self.users(table), name, self.weight(now, table, up))
-                up.withdrawn, up.shifted_at = not up.withdrawn, now
-                self.host.withdraw(name, up.withdrawn)
-                self.charge(holders, 1)
+            if gather or self.load() + heads + len(holders) * (1 + up.withdrawn * len(tables)) > most:
+                left.append(name)
+                continue
+            for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
+                self.line(table, self.users(table), name, self.weight(now, table, up))
+            up.withdrawn, up.shifted_at = not up.withdrawn, now
+            self.host.withdraw(name, up.withdrawn)
+            self.charge(holders, 1)
+        self.shifted = dict.fromkeys(left)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
