--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -138,7 +138,7 @@
                     self.charge(users, 1)
             found += [(moved, table, users, name, new) for moved, name, new in self.moves(now, table, users)]
         for moved, table, users, name, weight in sorted(found, key=lambda row: -row[0]):
-            if users and self.load() >= (limit if moved >= MOVED else limit / 2):
+            if users and self.load() >= limit:
                 break
             self.line(table, users, name, weight)
 
