--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -137,7 +137,7 @@
                     table.levels[k] = (tries, level)
                     self.charge(users, 1)
             found += [(moved, table, users, name, new) for moved, name, new in self.moves(now, table, users)]
-        for moved, table, users, name, weight in sorted(found, key=lambda row: -row[0]):
+        for _, table, users, name, weight in sorted(found, key=lambda row: -row[0]):
             if users and self.load() >= limit:
                 break
             self.line(table, users, name, weight)
@@ -158,10 +158,10 @@
         found = []
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
-            idle = self.hosts[name].withdrawn  # its line may stay for a while
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
             if moved > quantum or (name in table.owed and weight):
-                found.append((0.0 if idle else moved if moved >= MOVED else moved * part, name, weight))
+                # the line of a withdrawn host may stay for a while
+                found.append((moved * part * (not self.hosts[name].withdrawn), name, weight))
         return found
 
     def users(self, table: Table) -> list[int]:
@@ -311,11 +311,9 @@
     def host_listed(
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
     ) -> None:
-        if name not in self.hosts:
-            self.hosts[name] = Upstream(self.width, BUCKETS)
-            self.hosts[name].started = started if now - started >= self.facts.rules.cold else 0
-        up = self.hosts[name]
-        if started != up.started:  # a new process: nothing heard of the old one holds
+        up = self.hosts.setdefault(name, Upstream(self.width, BUCKETS))
+        if started != up.started and now - started < self.facts.rules.cold:
+            # a new process: nothing heard of the old one holds
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
         if self.facts.weights in ("nominal", "rough"):
@@ -373,10 +371,8 @@
             up.busy, up.busy_at = load.get("busy", 1.0), now
 
     def look(self, now: int) -> None:
-        """Takes out hosts that drop nearly all where others do not; gives those that rested a trial.
-
-        Who answers some stays: in one-sided trouble and in a jam the others cannot carry its calls too.
-        """
+        """Takes out hosts that drop nearly all where others do not, and back when they have rested."""
+        # who answers some stays: in one-sided trouble and in a jam the others cannot carry its calls too
         ready = [(n, u, u.heard.total(now, BUCKETS)) for n, u in self.hosts.items() if u.mode == "in_service"]
         shares = sorted(e / t for _, u, (t, e, _) in ready if t >= 3 and not u.sick)
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
@@ -410,10 +406,7 @@
     def go_narrow(self, now: int, good: float, busy: float) -> None:
         """Deals hosts and proxies to groups, each with a narrow table in place of each wide one."""
         self.host.log(f"narrow tables: good {good:.2f}, busy {busy:.2f}")
-        self.narrow_until, self.narrow = now + self.narrow, 2 * self.narrow
-        for up in self.hosts.values():  # what failed may have been connections
-            up.sick = False
-            up.heard.forget()
+        self.narrow_until, self.narrow, self.tables = now + self.narrow, 2 * self.narrow, list(self.wide)
         zones = list(dict.fromkeys(table.zone for table in self.wide))
         self.parts = max(1, sum(up.mode == "in_service" for up in self.hosts.values()) // (FEW * len(zones)))
         turn = [*range(self.parts), *reversed(range(self.parts))]
@@ -489,8 +482,7 @@
 
     def load_of(self, now: int, table: Table) -> float:
         """The share of its hosts' cores in use, as far as reported lately, by weight."""
-        ups = [u for u in self.hosts.values() if not u.sick and self.open_to(table, u)]
-        ups = [u for u in ups if now - u.busy_at < FRESH]
+        ups = [u for u in self.hosts.values() if now - u.busy_at < FRESH and self.open_to(table, u)]
         rows = [(u.busy, u.size * u.factor * max(self.warmth(now, u), FLOOR)) for u in ups]
         unknown = GOOD if self.facts.fleet.load_reports == "none" else IDLE
         return max(sum(b * w for b, w in rows) / sum(w for _, w in rows), 0.1) if rows else unknown
@@ -535,8 +527,6 @@
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
             self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
-        if not self.narrow_until and not self.joined:
-            self.tables = list(self.wide)
         if now >= self.solve_at:
             self.solve_at = now + (SOLVE_EVERY if self.solve(now) else BEAT)
         self.host.after(BEAT, 0)
