--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -443,7 +443,8 @@
             self.shunned *= self.shunned > self.born + SHUNNED  # no more doubt of the start
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
-        soon = busy + max(rise, 0.0) if busy > IDLE else busy  # it will have risen when an order shows
+        rises = busy > IDLE and now > self.born + 10 * BEAT  # at first reports only fill in
+        soon = busy + max(rise, 0.0) if rises else busy  # it will have risen when an order shows
         # what is gone, out or dead says nothing of load
         sums = [u.heard.total(now, 2) for u in self.hosts.values() if u.mode == "in_service" and not u.sick]
         sums = [row for row in sums if row[0] > row[1]]
