--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -36,8 +36,7 @@
 # Levels. Load is cores in use; late is the time of the answered over SLO time; room is the share let in.
 TIGHT, FULL, SOON = 0.45, 0.93, 1.02  # throttle at: late; load, now and as it rises
 GOOD, LOW, IDLE = 0.88, 0.75, 0.65  # load that levels fall to, rise to; under which late is no overload
-AHEAD, FALL_GAIN, RISE_GAIN = 0.7, 5.0, 4.0  # in one lag: how far a rise is followed, of the way there
-RISE = 1.5  # the most that levels grow to in one lag, over what they were
+AHEAD, FALL_GAIN, RISE_GAIN, RISE = 0.7, 5.0, 4.0, 1.5  # a lag: how far ahead, of the way there, most growth
 OPEN, FLOOR, UNLIMITED = 1.4, 0.1, 1e6  # room that throttles nothing; least share of a route; no limit
 
 
@@ -312,10 +311,10 @@
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
     ) -> None:
         up = self.hosts.setdefault(name, Upstream(self.width, BUCKETS))
-        if started != up.started and now - started < self.facts.rules.cold:
-            # a new process: nothing heard of the old one holds
+        if started != up.started and now - started < self.facts.rules.cold:  # nothing heard of it holds
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
+            up.withdrawn = up.withdrawn or mode == "in_service"  # readmitted at its ramp, ahead of all else
         if self.facts.weights in ("nominal", "rough"):
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
@@ -445,7 +444,6 @@
         self.loads[now // BEAT & 7] = busy
         rises = busy > IDLE and now > self.born + 10 * BEAT  # at first reports only fill in
         soon = busy + max(rise, 0.0) if rises else busy  # it will have risen when an order shows
-        # what is gone, out or dead says nothing of load
         sums = [u.heard.total(now, 2) for u in self.hosts.values() if u.mode == "in_service" and not u.sick]
         sums = [row for row in sums if row[0] > row[1]]
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
