--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -22,7 +22,8 @@
 CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
-NEARLY, OF_LATE = 0.95, 5 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
+GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
+NEARLY, OF_LATE = 0.95, 3 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -68,7 +69,7 @@
         self.loads = [1.0] * 8  # cores in use, by beat
         self.answered = Ring(self.width, BUCKETS, 2)  # answered and tried
         # the channel: lines that wait at its stated rate, and those of messages whose answer is overdue
-        self.queue, self.overdue, self.drained_at = 0.0, 0.0, now
+        self.queue, self.overdue, self.drained_at, self.passed = 0.0, 0.0, now, now
         self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
@@ -76,7 +77,7 @@
         self.head = int(facts.channel.head_lines) + 1  # lines that a message costs, its mark with it
         self.rate = facts.channel.lines_per_s / SECOND
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
-        self.shifted: dict[str, None] = {}  # hosts that may have to be withdrawn or readmitted
+        self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.remind_at = NEVER  # when who is still not bound is told again of hosts that went of late
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
@@ -246,11 +247,11 @@
         return self.queue + self.overdue
 
     def limit(self) -> float:
-        """A third of the queue, and no more than lets withdrawals reach all the proxies there are in time."""
+        """A third of the queue, or down to a sixth so that two rounds of withdrawals reach all in time."""
         terms = self.facts.channel
         reach = self.rate * (self.facts.rules.drain_grace - terms.late_most)
-        reach -= self.facts.fleet.proxies * (self.head + 1)
-        return min(terms.most_waiting, max(reach, 0.0)) / 3
+        reach -= (self.facts.fleet.proxies + len(self.proxies)) * (self.head + 1)
+        return min(terms.most_waiting, max(reach, terms.most_waiting / 2)) / 3
 
     def charge(self, proxies: list[int], lines: int) -> None:
         for proxy in proxies:
@@ -272,8 +273,9 @@
 
     def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
         book = self.waiting.get(proxy, [])
-        for i, (mark, _, _) in enumerate(book):
+        for i, (mark, _, due) in enumerate(book):
             if mark == number:
+                self.passed = max(self.passed, due)
                 del book[: i + 1]
                 return
 
@@ -281,23 +283,27 @@
 
     def guard(self, now: int) -> None:
         """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
-        most, ups, left = self.facts.channel.most_waiting * NEARLY, self.hosts, []
+        most, ups, left = self.facts.channel.most_waiting * NEARLY, self.hosts, dict[str, int]()
         shifted = [name for name in self.shifted if ups[name].withdrawn == (ups[name].mode == "in_service")]
-        # while a round of messages waits, more of the same gather: a message costs more than its line
-        gather = self.load() >= self.limit()
+        # while a round of messages waits, more gather for a little: a message costs more than its line
+        news = [now - self.shifted[name] for name in shifted if not ups[name].withdrawn]
+        age = max(news, default=0) * GATHER // self.facts.rules.drain_grace
+        fits = self.load() + len(self.proxies) * (self.head + len(news)) <= most
+        wait, gather = self.load() >= self.limit(), age < 3 and not (fits and age >= 1)
         for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
             up, tables = ups[name], [table for table in self.tables if name in table.sent]
             holders = [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
-            heads = self.head * sum(p not in self.moment for p in holders)
-            if gather or self.load() + heads + len(holders) * (1 + up.withdrawn * len(tables)) > most:
-                left.append(name)
+            cost = self.head * sum(p not in self.moment for p in holders)
+            cost += len(holders) * (1 + up.withdrawn * len(tables))
+            if (wait and (gather or up.withdrawn)) or self.load() + cost > most:
+                left[name] = self.shifted[name]
                 continue
             for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
                 self.line(table, self.users(table), name, self.weight(now, table, up))
             up.withdrawn, up.shifted_at = not up.withdrawn, now
             self.host.withdraw(name, up.withdrawn)
             self.charge(holders, 1)
-        self.shifted = dict.fromkeys(left)
+        self.shifted = left
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
@@ -319,13 +325,13 @@
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
         self.listing.append(name)
-        self.shifted[name] = None
+        self.shifted.setdefault(name, now)
 
     def list_ended(self, now: int) -> None:
         here = set(self.listing)
         for name in [n for n in self.hosts if n not in here] if self.whole else ():
             self.hosts[name].mode = "terminated"
-            self.shifted[name] = None
+            self.shifted.setdefault(name, now)
         self.order_after = now
 
     def list_lost(self, now: int) -> None:
@@ -507,7 +513,8 @@
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
-        self.overdue = sum(lines for book in self.waiting.values() for _, lines, due in book if due < now)
+        books = self.waiting.values()  # messages leave in turn: what was sent before an answered one has left
+        self.overdue = sum(lines for book in books for _, lines, due in book if self.passed < due < now)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
@@ -521,7 +528,7 @@
             self.remind_at = NEVER
             for name, up in self.hosts.items():
                 if up.withdrawn and now - up.shifted_at < OF_LATE:
-                    up.withdrawn, self.shifted[name] = False, None
+                    up.withdrawn, self.shifted[name] = False, NEVER
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
