--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -292,7 +292,8 @@
         wait, gather = self.load() >= self.limit(), age < 3 and not (fits and age >= 1)
         for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
             up, tables = ups[name], [table for table in self.tables if name in table.sent]
-            holders = [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
+            users = list(self.proxies) if up.withdrawn else [p for table in tables for p in self.users(table)]
+            holders = [*dict.fromkeys([*self.joined, *users])]
             cost = self.head * sum(p not in self.moment for p in holders)
             cost += len(holders) * (1 + up.withdrawn * len(tables))
             if (wait and (gather or up.withdrawn)) or self.load() + cost > most:
@@ -320,7 +321,8 @@
         if started != up.started and now - started < self.facts.rules.cold:  # nothing heard of it holds
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
-            up.withdrawn = up.withdrawn or mode == "in_service"  # readmitted at its ramp, ahead of all else
+            # one that was in service is readmitted at its ramp, ahead of all else
+            up.withdrawn = up.withdrawn or mode == up.mode == "in_service"
         if self.facts.weights in ("nominal", "rough"):
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
