--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -30,8 +30,7 @@
 CUT_SHARE = 0.7  # of a zone's hosts, those that missed their last probe: it is cut
 PROBE_EVERY, FRESH = 2 * SECOND, 5 * SECOND  # half that at busy hosts; how long a load report counts
 TIMED_OUT, DOWN = 3, 4  # a probe's outcomes
-# Cold hosts are held out: time after a cut or a start, share of all tries answered, stress of a start.
-SHUNNED, AGROUND, JAMMED = 8 * SECOND, 0.5, 0.7
+SHUNNED, AGROUND = 8 * SECOND, 0.5  # cold hosts are held out: after a start or a cut; share of tries answered
 # Narrow tables: share answered by idle hosts under which they begin, hosts in one, time of the first.
 BARRED, FEW, NARROW = 0.4, 2, 30 * SECOND
 # Levels. Load is cores in use; late is the time of the answered over SLO time; room is the share let in.
@@ -160,7 +159,6 @@
             old = table.sent.get(name, 0.0)
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
             if moved > quantum or (name in table.owed and weight):
-                # the line of a withdrawn host may stay for a while
                 found.append((moved * part * (not self.hosts[name].withdrawn), name, weight))
         return found
 
@@ -447,11 +445,10 @@
         busy = max(self.load_of(now, table) for table in self.wide)
         if not self.stress and busy < AGROUND and any(u.busy_at >= 0 for u in self.hosts.values()):
             self.good = 1.0  # before the first sums, load that is told says as much
-            self.shunned *= self.shunned > self.born + SHUNNED  # no more doubt of the start
         rise = (busy - self.loads[now // BEAT - 4 & 7]) * self.lag * AHEAD / (4 * BEAT)
         self.loads[now // BEAT & 7] = busy
-        rises = busy > IDLE and now > self.born + 10 * BEAT  # at first reports only fill in
-        soon = busy + max(rise, 0.0) if rises else busy  # it will have risen when an order shows
+        # it will have risen when an order shows; at first reports only fill in
+        soon = busy + max(rise, 0.0) * (busy > IDLE and now > self.born + 10 * BEAT)
         sums = [u.heard.total(now, 2) for u in self.hosts.values() if u.mode == "in_service" and not u.sick]
         sums = [row for row in sums if row[0] > row[1]]
         calls = [(sum(self.rates[r.name].values()), r.slo_time) for r in self.facts.routes]
@@ -464,8 +461,6 @@
         if max(good, answered / tried) < BARRED and busy < GOOD and late < TIGHT and not self.narrow_until:
             self.go_narrow(now, good, busy)
         good = good if late > TIGHT else 1.0  # drops where what is answered is in time are no overload
-        if not self.stress and late + 1 - good <= JAMMED:
-            self.shunned *= self.shunned > self.born + SHUNNED  # it has not started into a jam
         self.stress, self.good = late + 1 - good, min(good, answered / tried)
         was, lag = self.room, min(self.lag + int(mean), 30 * BEAT)
         self.steer(now, lag, late, good, busy, soon)
@@ -515,8 +510,9 @@
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
-        books = self.waiting.values()  # messages leave in turn: what was sent before an answered one has left
-        self.overdue = sum(lines for book in books for _, lines, due in book if self.passed < due < now)
+        # messages leave in turn: what was sent before an answered one has left; what is long overdue is lost
+        since, books = max(self.passed, now - 2 * self.facts.rules.drain_grace), self.waiting.values()
+        self.overdue = sum(lines for book in books for _, lines, due in book if since < due < now)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
