--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -23,7 +23,7 @@
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
 GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
-NEARLY, OF_LATE = 0.95, 3 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
+NEARLY, OF_LATE = 0.95, 5 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -77,7 +77,7 @@
         self.rate = facts.channel.lines_per_s / SECOND
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
-        self.remind_at = NEVER  # when who is still not bound is told again of hosts that went of late
+        self.again, self.remind_at = list[str](), NEVER  # to be told again; when to gather them
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -107,7 +107,8 @@
         self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
         self.drained_at = now
         self.guard(now)
-        limit = 0.0 if self.shifted else self.limit()  # what keeps rules waits for nothing else
+        # what keeps rules waits for nothing else
+        limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
         for proxy in sorted(self.joined, key=self.joined.__getitem__):
             if self.load() >= limit:
                 break
@@ -294,7 +295,8 @@
             holders = [*dict.fromkeys([*self.joined, *users])]
             cost = self.head * sum(p not in self.moment for p in holders)
             cost += len(holders) * (1 + up.withdrawn * len(tables))
-            if (wait and (gather or up.withdrawn)) or self.load() + cost > most:
+            early = up.withdrawn and (wait or (self.joined and self.cold(now, up)))  # tables of before
+            if early or (wait and gather) or self.load() + cost > most:
                 left[name] = self.shifted[name]
                 continue
             for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
@@ -303,6 +305,12 @@
             self.host.withdraw(name, up.withdrawn)
             self.charge(holders, 1)
         self.shifted = left
+        again, self.again = (self.again, []) if self.load() < self.limit() else ([], self.again)
+        for name in again:  # withdrawals may have been lost with the streams of before
+            cost = len(self.proxies) + self.head * (len(self.proxies) - len(self.moment))
+            if ups[name].withdrawn and self.load() + cost <= most:
+                self.host.withdraw(name, True)
+                self.charge(list(self.proxies), 1)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
@@ -522,11 +530,9 @@
                 self.host.probe(name)
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
-        if self.joined and now >= self.remind_at:  # withdrawals were lost with the streams of before
+        if self.joined and now >= self.remind_at:
             self.remind_at = NEVER
-            for name, up in self.hosts.items():
-                if up.withdrawn and now - up.shifted_at < OF_LATE:
-                    up.withdrawn, self.shifted[name] = False, NEVER
+            self.again = [n for n, u in self.hosts.items() if u.withdrawn and now - u.shifted_at < OF_LATE]
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
