--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -12,7 +12,7 @@
 from statistics import median
 
 from .host import Facts, Host
-from .state import Ring, Table, Upstream, cap, middle
+from .state import Channel, Ring, Table, Upstream, cap, middle
 
 # Time, in tenths of a millisecond.
 SECOND, BEAT, NEVER = 10_000, 5_000, 1 << 60  # a beat is between looks at health and levels
@@ -67,14 +67,13 @@
         self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
         self.loads = [1.0] * 8  # cores in use, by beat
         self.answered = Ring(self.width, BUCKETS, 2)  # answered and tried
-        # the channel: lines that wait at its stated rate, and those of messages whose answer is overdue
-        self.queue, self.overdue, self.drained_at, self.passed = 0.0, 0.0, now, now
-        self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
-        self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
-        self.head = int(facts.channel.head_lines) + 1  # lines that a message costs, its mark with it
-        self.rate = facts.channel.lines_per_s / SECOND
+        self.rate, head = (
+            facts.channel.lines_per_s / SECOND,
+            int(facts.channel.head_lines) + 1,
+        )  # with its mark
+        self.channel = Channel(self.rate, head, facts.channel.late_most, now)
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.again, self.remind_at = list[str](), NEVER  # to be told again; when to gather them
@@ -85,7 +84,7 @@
     # Join, bind, fill, resend, solve, pace: the ordinary path.
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
-        self.proxies[proxy], self.waiting[proxy] = (zone, rate), []
+        self.proxies[proxy], self.channel.waiting[proxy] = (zone, rate), []
         self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4)
         self.joined[proxy] = (now // SECOND, -rate)
         if self.narrow_until:
@@ -94,7 +93,7 @@
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
             book.pop(proxy, None)
-        for known in (self.proxies, self.bound, self.joined, self.waiting):
+        for known in (self.proxies, self.bound, self.joined, self.channel.waiting):
             known.pop(proxy, None)
 
     def moment_over(self, now: int) -> None:
@@ -104,25 +103,25 @@
             self.listen_at = -1
         if now < self.send_after:
             return
-        self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
-        self.drained_at = now
+        self.channel.drain(now)
         self.guard(now)
         # what keeps rules waits for nothing else
         limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
         for proxy in sorted(self.joined, key=self.joined.__getitem__):
-            if self.load() >= limit:
+            if self.channel.load() >= limit:
                 break
             self.bound[proxy] = self.groups.get(proxy, -1)
             for table in [t for t in self.tables if t.group == self.bound[proxy] and self.near(t, proxy)]:
                 self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
                 out = sum(self.hosts[name].withdrawn for name in table.sent)
-                self.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
+                self.channel.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
                 table.owed = dict.fromkeys(table.sent)
             del self.joined[proxy]
-        if now >= self.order_after and self.load() < limit / 2:
-            before = self.load()
+        if now >= self.order_after and self.channel.load() < limit / 2:
+            before = self.channel.load()
             self.tune(now, self.tables, limit)
-            self.order_after = now + max(BEAT, int((self.load() - before) / (self.rate * TUNING_RATE)))
+            spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
+            self.order_after = now + max(BEAT, int(spent))
         self.send(now)
 
     def tune(self, now: int, tables: list[Table], limit: float) -> None:
@@ -135,10 +134,10 @@
                 if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
                     self.host.allow(table.number, 1 << k, tries, level)
                     table.levels[k] = (tries, level)
-                    self.charge(users, 1)
+                    self.channel.charge(users, 1)
             found += [(moved, table, users, name, new) for moved, name, new in self.moves(now, table, users)]
         for _, table, users, name, weight in sorted(found, key=lambda row: -row[0]):
-            if users and self.load() >= limit:
+            if users and self.channel.load() >= limit:
                 break
             self.line(table, users, name, weight)
 
@@ -171,7 +170,7 @@
 
     def line(self, table: Table, users: list[int], name: str, weight: float) -> None:
         self.host.line(table.number, name, weight)
-        self.charge(users, 1)
+        self.channel.charge(users, 1)
         table.owed.pop(name, None)
         table.sent.pop(name, None)
         if weight > 0:
@@ -240,77 +239,60 @@
         fits = (not like.kinds or up.kind in like.kinds) and (not like.zones or up.zone in like.zones)
         return up.mode == "in_service" and near and fits and (not table.only or up in table.only)
 
-    # The channel: what was ordered waits at the stated rate; what stays unanswered past its time waits too.
-
-    def load(self) -> float:
-        return self.queue + self.overdue
+    # The channel: one estimate paces everything.
 
     def limit(self) -> float:
         """A third of the queue, or down to a sixth so that two rounds of withdrawals reach all in time."""
         terms = self.facts.channel
         reach = self.rate * (self.facts.rules.drain_grace - terms.late_most)
-        reach -= (self.facts.fleet.proxies + len(self.proxies)) * (self.head + 1)
+        reach -= (self.facts.fleet.proxies + len(self.proxies)) * (self.channel.head + 1)
         return min(terms.most_waiting, max(reach, terms.most_waiting / 2)) / 3
 
-    def charge(self, proxies: list[int], lines: int) -> None:
-        for proxy in proxies:
-            cost = lines if proxy in self.moment else lines + self.head
-            self.moment[proxy] = self.moment.get(proxy, 0) + cost
-            self.queue += cost
-
     def send(self, now: int) -> None:
         """Books the moment's messages, and tags them so that their arrival is known."""
-        if not self.moment:
-            return
-        self.mark = (self.mark + 1) % 65536
-        self.host.mark(self.mark, False)
-        due = now + int(self.load() / self.rate) + self.facts.channel.late_most
-        for proxy, lines in self.moment.items():
-            self.waiting[proxy].append((self.mark, lines, due))
-        self.moment.clear()
-        self.send_after = now + self.spacing
+        if self.channel.moment:
+            self.mark = (self.mark + 1) % 65536
+            self.host.mark(self.mark, False)
+            self.channel.send(now, self.mark)
+            self.send_after = now + self.spacing
 
     def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
-        book = self.waiting.get(proxy, [])
-        for i, (mark, _, due) in enumerate(book):
-            if mark == number:
-                self.passed = max(self.passed, due)
-                del book[: i + 1]
-                return
+        self.channel.answered(proxy, number)
 
     # Rules first: what the list says of draining, gone and new hosts.
 
     def guard(self, now: int) -> None:
         """Withdraws what drains or is gone, from those who may hold it; readmits at its present weight."""
         most, ups, left = self.facts.channel.most_waiting * NEARLY, self.hosts, dict[str, int]()
-        shifted = [name for name in self.shifted if ups[name].withdrawn == (ups[name].mode == "in_service")]
+        wanted = {name: ups[name].mode == "in_service" and not ups[name].anew for name in self.shifted}
+        shifted = [name for name, wish in wanted.items() if ups[name].withdrawn == wish]
         # while a round of messages waits, more gather for a little: a message costs more than its line
         news = [now - self.shifted[name] for name in shifted if not ups[name].withdrawn]
         age = max(news, default=0) * GATHER // self.facts.rules.drain_grace
-        fits = self.load() + len(self.proxies) * (self.head + len(news)) <= most
-        wait, gather = self.load() >= self.limit(), age < 3 and not (fits and age >= 1)
+        fits = self.channel.load() + self.channel.cost([*self.proxies], len(news)) <= most
+        wait, gather = self.channel.load() >= self.limit(), age < 3 and not (fits and age >= 1)
         for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
             up, tables = ups[name], [table for table in self.tables if name in table.sent]
             users = list(self.proxies) if up.withdrawn else [p for table in tables for p in self.users(table)]
             holders = [*dict.fromkeys([*self.joined, *users])]
-            cost = self.head * sum(p not in self.moment for p in holders)
-            cost += len(holders) * (1 + up.withdrawn * len(tables))
+            cost = self.channel.cost(holders, 1 + up.withdrawn * len(tables))
             early = up.withdrawn and (wait or (self.joined and self.cold(now, up)))  # tables of before
-            if early or (wait and gather) or self.load() + cost > most:
+            if early or (wait and gather) or self.channel.load() + cost > most:
                 left[name] = self.shifted[name]
                 continue
             for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
                 self.line(table, self.users(table), name, self.weight(now, table, up))
             up.withdrawn, up.shifted_at = not up.withdrawn, now
             self.host.withdraw(name, up.withdrawn)
-            self.charge(holders, 1)
+            self.channel.charge(holders, 1)
+            if up.anew:
+                up.anew, left[name] = False, now
         self.shifted = left
-        again, self.again = (self.again, []) if self.load() < self.limit() else ([], self.again)
+        again, self.again = (self.again, []) if self.channel.load() < self.limit() else ([], self.again)
         for name in again:  # withdrawals may have been lost with the streams of before
-            cost = len(self.proxies) + self.head * (len(self.proxies) - len(self.moment))
-            if ups[name].withdrawn and self.load() + cost <= most:
+            if ups[name].withdrawn and self.channel.load() + self.channel.cost([*self.proxies], 1) <= most:
                 self.host.withdraw(name, True)
-                self.charge(list(self.proxies), 1)
+                self.channel.charge(list(self.proxies), 1)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
@@ -327,8 +309,7 @@
         if started != up.started and now - started < self.facts.rules.cold:  # nothing heard of it holds
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
-            # one that was in service is readmitted at its ramp, ahead of all else
-            up.withdrawn = up.withdrawn or mode == up.mode == "in_service"
+            up.anew = mode == up.mode == "in_service" and not up.withdrawn  # then readmitted at its ramp
         if self.facts.weights in ("nominal", "rough"):
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
@@ -518,9 +499,7 @@
     # The beat.
 
     def timer_due(self, now: int, key: int) -> None:
-        # messages leave in turn: what was sent before an answered one has left; what is long overdue is lost
-        since, books = max(self.passed, now - 2 * self.facts.rules.drain_grace), self.waiting.values()
-        self.overdue = sum(lines for book in books for _, lines, due in book if since < due < now)
+        self.channel.look(now, 2 * self.facts.rules.drain_grace)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -57,6 +57,7 @@
         self.busy, self.busy_at = 0.0, -(1 << 40)  # cores in use, as last told
         self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
         self.withdrawn, self.shifted_at = False, 0  # as ordered, and when
+        self.anew = False  # it started anew while in service, and was not withdrawn since
 
 
 class Table:
@@ -69,3 +70,53 @@
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
         self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
+
+
+class Channel:
+    """What waits in a channel: lines ordered, at its stated rate, and those whose answer is overdue."""
+
+    def __init__(self, rate: float, head: int, late: int, now: int) -> None:
+        self.rate, self.head, self.late = (
+            rate,
+            head,
+            late,
+        )  # lines a tick; a message's own; its longest way
+        self.queue, self.overdue, self.drained_at, self.passed = 0.0, 0.0, now, now
+        self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
+        self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
+
+    def load(self) -> float:
+        return self.queue + self.overdue
+
+    def cost(self, proxies: list[int], lines: int) -> int:
+        return lines * len(proxies) + self.head * sum(proxy not in self.moment for proxy in proxies)
+
+    def charge(self, proxies: list[int], lines: int) -> None:
+        for proxy in proxies:
+            cost = lines if proxy in self.moment else lines + self.head
+            self.moment[proxy] = self.moment.get(proxy, 0) + cost
+            self.queue += cost
+
+    def drain(self, now: int) -> None:
+        self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
+        self.drained_at = now
+
+    def send(self, now: int, mark: int) -> None:
+        due = now + int(self.load() / self.rate) + self.late
+        for proxy, lines in self.moment.items():
+            self.waiting[proxy].append((mark, lines, due))
+        self.moment.clear()
+
+    def answered(self, proxy: int, number: int) -> None:
+        """Messages leave in turn: what was sent before an answered one has left."""
+        book = self.waiting.get(proxy, [])
+        for i, (mark, _, due) in enumerate(book):
+            if mark == number:
+                self.passed = max(self.passed, due)
+                del book[: i + 1]
+                return
+
+    def look(self, now: int, lost: int) -> None:
+        """Sums what is overdue; what is so for longer than `lost` is lost."""
+        since, books = max(self.passed, now - lost), self.waiting.values()
+        self.overdue = sum(lines for book in books for _, lines, due in book if since < due < now)
