--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -85,8 +85,9 @@
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.channel.waiting[proxy] = (zone, rate), []
-        self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4)
-        self.joined[proxy] = (now // SECOND, -rate)
+        if not fresh:  # it may have lost a withdrawal with its stream
+            self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4)
+        self.joined[proxy] = (now // SECOND - 2 * fresh, -rate)  # who holds few hosts may lose them all
         if self.narrow_until:
             self.groups.setdefault(proxy, int(self.chance() * self.parts))
 
