--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -76,7 +76,7 @@
         self.channel = Channel(self.rate, head, facts.channel.late_most, now)
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
-        self.again, self.remind_at = list[str](), NEVER  # to be told again; when to gather them
+        self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -86,7 +86,7 @@
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.channel.waiting[proxy] = (zone, rate), []
         if not fresh:  # it may have lost a withdrawal with its stream
-            self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4)
+            self.remind_at, self.joined_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4), now
         self.joined[proxy] = (now // SECOND - 2 * fresh, -rate)  # who holds few hosts may lose them all
         if self.narrow_until:
             self.groups.setdefault(proxy, int(self.chance() * self.parts))
@@ -274,8 +274,7 @@
         wait, gather = self.channel.load() >= self.limit(), age < 3 and not (fits and age >= 1)
         for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
             up, tables = ups[name], [table for table in self.tables if name in table.sent]
-            users = list(self.proxies) if up.withdrawn else [p for table in tables for p in self.users(table)]
-            holders = [*dict.fromkeys([*self.joined, *users])]
+            holders = list(self.proxies) if up.withdrawn else self.holders(tables)
             cost = self.channel.cost(holders, 1 + up.withdrawn * len(tables))
             early = up.withdrawn and (wait or (self.joined and self.cold(now, up)))  # tables of before
             if early or (wait and gather) or self.channel.load() + cost > most:
@@ -290,16 +289,22 @@
                 up.anew, left[name] = False, now
         self.shifted = left
         again, self.again = (self.again, []) if self.channel.load() < self.limit() else ([], self.again)
-        for name in again:  # withdrawals may have been lost with the streams of before
-            if ups[name].withdrawn and self.channel.load() + self.channel.cost([*self.proxies], 1) <= most:
-                self.host.withdraw(name, True)
-                self.channel.charge(list(self.proxies), 1)
+        for name in [name for name in again if ups[name].withdrawn]:
+            holders = self.holders([table for table in self.tables if name in table.sent])
+            if self.channel.load() + self.channel.cost(holders, 1) > most:
+                self.again.append(name)
+                continue
+            self.host.withdraw(name, True)  # it may have been lost with the streams of before
+            self.channel.charge(holders, 1)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
                 self.spill(now, table)
                 self.tune(now, [table], most)
 
+    def holders(self, tables: list[Table]) -> list[int]:
+        return [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
+
     def list_began(self, now: int, whole: bool) -> None:
         self.whole, self.listing, self.backoff = whole, [], SECOND
 
@@ -512,7 +517,9 @@
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
         if self.joined and now >= self.remind_at:
             self.remind_at = NEVER
-            self.again = [n for n, u in self.hosts.items() if u.withdrawn and now - u.shifted_at < OF_LATE]
+            since = self.joined_at - OF_LATE
+            gone = [name for name, up in self.hosts.items() if up.withdrawn]
+            self.again = [name for name in gone if since < self.hosts[name].shifted_at < self.joined_at]
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
