--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -519,7 +519,7 @@
             self.remind_at = NEVER
             since = self.joined_at - OF_LATE
             gone = [name for name, up in self.hosts.items() if up.withdrawn]
-            self.again = [name for name in gone if since < self.hosts[name].shifted_at < self.joined_at]
+            self.again = [name for name in gone if since < self.hosts[name].shifted_at <= self.joined_at]
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
