--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -69,11 +69,8 @@
         self.answered = Ring(self.width, BUCKETS, 2)  # answered and tried
         most = facts.channel.messages_most  # messages are spaced so that no proxy can get more than its cap
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
-        self.rate, head = (
-            facts.channel.lines_per_s / SECOND,
-            int(facts.channel.head_lines) + 1,
-        )  # with its mark
-        self.channel = Channel(self.rate, head, facts.channel.late_most, now)
+        self.rate, head = facts.channel.lines_per_s / SECOND, int(facts.channel.head_lines) + 1
+        self.channel = Channel(self.rate, head, facts.channel.late_most, now)  # a head holds its mark too
         self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
