--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from willowhook.state import Channel
+
 READY = ("in_service", 0)
 
 
@@ -223,6 +225,37 @@
     assert stage.host.withdrawals == told + 1 and stage.host.out["h0"]
 
 
+def test_messages_leave_in_turn_and_what_is_long_overdue_is_lost() -> None:
+    channel = Channel(0.16, 7, 4000, 0)
+    channel.waiting.update({0: [], 1: []})
+    for number in (1, 2):
+        channel.charge([0, 1], 10)
+        channel.send(0, number)
+    channel.look(6000, 50_000)
+    assert channel.overdue == 68
+    channel.answered(1, 1)  # the second message may still wait, to both
+    channel.look(6000, 50_000)
+    assert channel.overdue == 34
+    channel.look(60_000, 50_000)
+    assert channel.overdue == 0
+
+
+def test_a_cold_host_is_readmitted_when_nobody_waits_to_be_bound() -> None:
+    stage = started(Stage(), hosts=60)
+    stage.pass_time(SECOND)
+    stage.list({"h0": ("terminated", 0)}, whole=False)
+    stage.over()
+    for proxy in range(60, 120):
+        stage.join(proxy)
+    stage.over()
+    stage.list({"h0": ("in_service", stage.now)}, whole=False)
+    stage.over()
+    stage.pass_time(SECOND)
+    assert stage.director.joined and stage.host.out["h0"]
+    stage.pass_time(12 * SECOND)
+    assert not stage.director.joined and not stage.host.out["h0"]
+
+
 def test_moved_lines_of_all_tables_go_by_how_far_they_moved() -> None:
     terms = facts(fleet__cross_zone_price=0.08, channel__order_price=0.01)
     stage = started(Stage(terms), hosts=80, proxies=60)
