Form after a last reading: shares once a tune, guard in two, marks in the channel

Shares of routes were worked out anew for each table (three dozen while tables are narrow): once a tune now. Reminders are a step of their own; who holds a line is asked in one place; a charge uses the same cost as its check; nothing is sorted while the queue is full. Three comments said the wrong thing.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -230,7 +230,7 @@
     channel.waiting.update({0: [], 1: []})
     for number in (1, 2):
         channel.charge([0, 1], 10)
-        channel.send(0, number)
+        assert channel.send(0) == number
     channel.look(6000, 50_000)
     assert channel.overdue == 68
     channel.answered(1, 1)  # the second message may still wait, to both
--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -209,7 +209,7 @@
 
     def _inbox(self, director: Director, p: list[str]) -> None:
         """Directors do not coordinate: what a peer says is read and left alone."""
-        int(p[2]), base64.b64decode(p[3].replace("-", ""), validate=True)
+        int(p[2]), base64.b64decode(b"" if p[3] == "-" else p[3], validate=True)
 
     def _leased(self, director: Director, p: list[str]) -> None:
         int(p[2])
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -71,7 +71,7 @@
         self.spacing = facts.channel.messages_over // max(most - 1, 1) + 1 if most else 0
         self.rate, head = facts.channel.lines_per_s / SECOND, int(facts.channel.head_lines) + 1
         self.channel = Channel(self.rate, head, facts.channel.late_most, now)  # a head holds its mark too
-        self.mark, self.order_after, self.send_after, self.solve_at = 0, 0, now, now
+        self.order_after, self.send_after, self.solve_at = 0, now, now
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
         self.whole, self.listing = False, [""]  # the list that is coming in
@@ -105,7 +105,7 @@
         self.guard(now)
         # what keeps rules waits for nothing else
         limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
-        for proxy in sorted(self.joined, key=self.joined.__getitem__):
+        for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
             if self.channel.load() >= limit:
                 break
             self.bound[proxy] = self.groups.get(proxy, -1)
@@ -120,14 +120,16 @@
             self.tune(now, self.tables, limit)
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
             self.order_after = now + max(BEAT, int(spent))
-        self.send(now)
+        if self.channel.moment:
+            self.host.mark(self.channel.send(now), False)  # answered by `mark_answered`, so arrival is known
+            self.send_after = now + self.spacing
 
     def tune(self, now: int, tables: list[Table], limit: float) -> None:
         """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed."""
-        found = []
+        found, shares = [], self.shares()
         for table in tables:
             users = self.users(table)
-            for k, (tries, level) in self.levels(table).items():
+            for k, (tries, level) in self.levels(table, shares).items():
                 before = table.levels.get(k)
                 if before is None or before[0] != tries or abs(level - before[1]) > CHANGE / 2 * before[1]:
                     self.host.allow(table.number, 1 << k, tries, level)
@@ -246,14 +248,6 @@
         reach -= (self.facts.fleet.proxies + len(self.proxies)) * (self.channel.head + 1)
         return min(terms.most_waiting, max(reach, terms.most_waiting / 2)) / 3
 
-    def send(self, now: int) -> None:
-        """Books the moment's messages, and tags them so that their arrival is known."""
-        if self.channel.moment:
-            self.mark = (self.mark + 1) % 65536
-            self.host.mark(self.mark, False)
-            self.channel.send(now, self.mark)
-            self.send_after = now + self.spacing
-
     def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
         self.channel.answered(proxy, number)
 
@@ -270,8 +264,8 @@
         fits = self.channel.load() + self.channel.cost([*self.proxies], len(news)) <= most
         wait, gather = self.channel.load() >= self.limit(), age < 3 and not (fits and age >= 1)
         for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
-            up, tables = ups[name], [table for table in self.tables if name in table.sent]
-            holders = list(self.proxies) if up.withdrawn else self.holders(tables)
+            up, tables = ups[name], self.having(name)
+            holders = list(self.proxies) if up.withdrawn else self.holders(name)
             cost = self.channel.cost(holders, 1 + up.withdrawn * len(tables))
             early = up.withdrawn and (wait or (self.joined and self.cold(now, up)))  # tables of before
             if early or (wait and gather) or self.channel.load() + cost > most:
@@ -285,22 +279,30 @@
             if up.anew:
                 up.anew, left[name] = False, now
         self.shifted = left
-        again, self.again = (self.again, []) if self.channel.load() < self.limit() else ([], self.again)
-        for name in [name for name in again if ups[name].withdrawn]:
-            holders = self.holders([table for table in self.tables if name in table.sent])
-            if self.channel.load() + self.channel.cost(holders, 1) > most:
-                self.again.append(name)
-                continue
-            self.host.withdraw(name, True)  # it may have been lost with the streams of before
-            self.channel.charge(holders, 1)
+        self.tell_again(most)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if all(self.hosts[name].withdrawn for name in table.sent):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
                 self.spill(now, table)
                 self.tune(now, [table], most)
 
-    def holders(self, tables: list[Table]) -> list[int]:
-        return [*dict.fromkeys([*self.joined, *(p for table in tables for p in self.users(table))])]
+    def tell_again(self, most: float) -> None:
+        """Repeats withdrawals that may have been lost with the streams of before."""
+        again, self.again = (self.again, []) if self.channel.load() < self.limit() else ([], self.again)
+        for name in [name for name in again if self.hosts[name].withdrawn]:
+            holders = self.holders(name)
+            if self.channel.load() + self.channel.cost(holders, 1) > most:
+                self.again.append(name)
+                continue
+            self.host.withdraw(name, True)
+            self.channel.charge(holders, 1)
+
+    def having(self, name: str) -> list[Table]:
+        return [table for table in self.tables if name in table.sent]
+
+    def holders(self, name: str) -> list[int]:
+        users = [proxy for table in self.having(name) for proxy in self.users(table)]
+        return [*dict.fromkeys([*self.joined, *users])]
 
     def list_began(self, now: int, whole: bool) -> None:
         self.whole, self.listing, self.backoff = whole, [], SECOND
@@ -309,7 +311,7 @@
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
     ) -> None:
         up = self.hosts.setdefault(name, Upstream(self.width, BUCKETS))
-        if started != up.started and now - started < self.facts.rules.cold:  # nothing heard of it holds
+        if started != up.started and now - started < self.facts.rules.cold:  # what was heard is of before
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
             up.anew = mode == up.mode == "in_service" and not up.withdrawn  # then readmitted at its ramp
@@ -339,7 +341,7 @@
     def warmth(self, now: int, up: Upstream) -> float:
         if not self.cold(now, up):
             return 1.0
-        # in a jam and after a cut proxies shun the hosts that failed them, and a cold one gets it all
+        # in a jam, after a cut or a start proxies shun the hosts that failed them, and a cold one gets it all
         held = self.good <= AGROUND or now < self.shunned
         start, grown = self.facts.rules.start_capacity, max(now - up.started, 0) / self.facts.rules.cold
         return 0.0 if held else start + (1 - start) * grown
@@ -387,7 +389,7 @@
     def find_cuts(self, now: int) -> None:
         """Hosts of a zone that miss their probes together, while near ones answer, cannot be reached."""
         probed = [u for u in self.hosts.values() if u.mode == "in_service" and u.probe_at]
-        probed = [u for u in probed if not self.cold(now, u)]  # these answer whatever the rest does
+        probed = [u for u in probed if not self.cold(now, u)]  # a cold one answers whatever the rest does
         missed = {zone: [u.missed for u in probed if u.zone == zone] for zone in self.facts.zones}
         cuts = [zone for zone, m in missed.items() if len(m) > 1 and sum(m) > CUT_SHARE * len(m)]
         near = missed.get(self.facts.zone, [])
@@ -481,20 +483,24 @@
         unknown = GOOD if self.facts.fleet.load_reports == "none" else IDLE
         return max(sum(b * w for b, w in rows) / sum(w for _, w in rows), 0.1) if rows else unknown
 
-    def levels(self, table: Table) -> dict[int, tuple[int, float]]:
-        routes = self.facts.routes
-        demand = {r.name: r.slo_time * sum(self.rates[r.name].values()) for r in routes}
-        left = (self.room - FLOOR) * sum(demand.values())
-        shares = dict.fromkeys(demand, FLOOR)
-        for route in sorted(routes, key=lambda r: -r.importance / r.slo_time):
-            part = min(max(left, 0.0), (1 - FLOOR) * demand[route.name])
-            shares[route.name] += part / demand[route.name] if demand[route.name] else 1.0
+    def shares(self) -> list[float]:
+        """What the room lets in of each route, the most important for its time first, from a floor up."""
+        demand = [route.slo_time * sum(self.rates[route.name].values()) for route in self.facts.routes]
+        left = (self.room - FLOOR) * sum(demand)
+        shares = [FLOOR] * len(demand)
+        rows = enumerate(self.facts.routes)
+        for k, _ in sorted(rows, key=lambda row: -row[1].importance / row[1].slo_time):
+            part = min(max(left, 0.0), (1 - FLOOR) * demand[k])
+            shares[k] += part / demand[k] if demand[k] else 1.0
             left -= part
+        return shares
+
+    def levels(self, table: Table, shares: list[float]) -> dict[int, tuple[int, float]]:
         result = {}
         for k in table.routes:
-            share = level = shares[routes[k].name]
+            share = level = shares[k]
             if self.facts.fleet.admit == "rps":  # calls a second at each proxy, small ones first
-                rates = list(self.rates[routes[k].name].values())
+                rates = list(self.rates[self.facts.routes[k].name].values())
                 level = max(cap(rates, share), FLOOR) if share < 0.999 and rates else UNLIMITED
             result[k] = (1 if self.room >= 1 else 0, level)  # a second try is one more call for a full fleet
         return result
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -76,12 +76,8 @@
     """What waits in a channel: lines ordered, at its stated rate, and those whose answer is overdue."""
 
     def __init__(self, rate: float, head: int, late: int, now: int) -> None:
-        self.rate, self.head, self.late = (
-            rate,
-            head,
-            late,
-        )  # lines a tick; a message's own; its longest way
-        self.queue, self.overdue, self.drained_at, self.passed = 0.0, 0.0, now, now
+        self.rate, self.head, self.late = rate, head, late  # lines a tick, of a head; a message's longest way
+        self.queue, self.overdue, self.drained_at, self.passed, self.mark = 0.0, 0.0, now, now, 0
         self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
 
@@ -92,20 +88,22 @@
         return lines * len(proxies) + self.head * sum(proxy not in self.moment for proxy in proxies)
 
     def charge(self, proxies: list[int], lines: int) -> None:
+        self.queue += self.cost(proxies, lines)
         for proxy in proxies:
-            cost = lines if proxy in self.moment else lines + self.head
-            self.moment[proxy] = self.moment.get(proxy, 0) + cost
-            self.queue += cost
+            self.moment[proxy] = self.moment.get(proxy, self.head) + lines
 
     def drain(self, now: int) -> None:
         self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
         self.drained_at = now
 
-    def send(self, now: int, mark: int) -> None:
+    def send(self, now: int) -> int:
+        """Books the moment's messages under one mark, and gives it."""
+        self.mark = (self.mark + 1) % 65536
         due = now + int(self.load() / self.rate) + self.late
         for proxy, lines in self.moment.items():
-            self.waiting[proxy].append((mark, lines, due))
+            self.waiting[proxy].append((self.mark, lines, due))
         self.moment.clear()
+        return self.mark
 
     def answered(self, proxy: int, number: int) -> None:
         """Messages leave in turn: what was sent before an answered one has left."""
