--- /dev/null
+++ b/willowhook/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/willowhook/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m willowhook.cli`, the same as the `willowhook` command."""
+
+from .main import main
+
+main()
--- /dev/null
+++ b/willowhook/config/terms.py
@@ -0,0 +1,133 @@
+"""The configuration of one director, as typed structs; its JSON Schema is made from them.
+
+Units stand in the names.  Every struct refuses unknown keys.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+AtLeast0 = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(gt=0, le=1)]
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
+Path = Annotated[str, Meta(pattern=r"^/[!-~]*$", max_length=200)]
+
+
+class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A part of the configuration."""
+
+
+class FileTerms(Part, frozen=True, kw_only=True):
+    """The folder through which the director and its proxies speak."""
+
+    folder: str
+    durability: Literal["none", "file", "file_and_folder"] = "none"
+    watch: Literal["inotify", "poll"] = "inotify"
+    poll_every_ms: Positive = 50
+    beat_every_ms: Positive = 200
+    proxy_lost_after_ms: Positive = 2000
+    largest_report_bytes: Annotated[int, Meta(ge=1024, le=1 << 26)] = 1 << 20
+
+
+class RosterTerms(Part, frozen=True, kw_only=True):
+    """Where the list of hosts comes from."""
+
+    url: Annotated[str, Meta(pattern=r"^http://[^/ ]+(/[^ ]*)?$")]
+    service: Name
+    subscribe: bool = True
+    wait_ms: Positive = 5000
+    timeout_ms: Positive = 2000
+
+
+class RouteTerms(Part, frozen=True, kw_only=True):
+    """A route: calls whose path is `path` or lies below it."""
+
+    name: Name
+    path: Path
+    slo_time_ms: Positive
+    time_limit_ms: Positive
+    importance: Positive = 1
+    late_importance: AtLeast0 = 0
+    semantics: Literal["repeatable", "keyed", "mutating"] = "mutating"
+    group: Literal["", "all", "zone", "cell"] = ""
+    window_ms: AtLeast0 = 0
+    writes: bool = False
+    own_zone: bool = False
+    zones: tuple[Name, ...] = ()
+    kinds: tuple[Name, ...] = ()
+
+
+class ChannelTerms(Part, frozen=True, kw_only=True):
+    """What one director may send its proxies."""
+
+    lines_per_s: Positive
+    head_lines: Count = 6
+    most_waiting_lines: Positive
+    late_ms: AtLeast0 = 20
+    late_most_ms: AtLeast0 = 200
+    messages_most: Count = 0
+    messages_over_ms: Positive = 10_000
+    order_price: AtLeast0 = 0.02
+
+
+class RuleTerms(Part, frozen=True, kw_only=True):
+    """The figures of the five rules."""
+
+    bare_ms: Positive
+    drain_grace_ms: Positive
+    ask_every_ms: AtLeast0 = 10_000
+    start_capacity: Share = 1
+    cold_ms: AtLeast0 = 0
+    fall_multiple: Positive = 4
+    fall_ms: Positive = 2000
+    gone_is_advice: bool = False
+
+
+class FleetTerms(Part, frozen=True, kw_only=True):
+    """What the proxies and hosts are like."""
+
+    proxies: Annotated[int, Meta(ge=1, le=65_000)]
+    pick: Literal["lottery", "wheel", "pair"] = "pair"
+    strikes: Count = 0
+    standing: Count = 0
+    admit: Literal["ratio", "rps", "none"] = "rps"
+    come_back_s: Annotated[int, Meta(ge=1, le=3600)] = 1
+    usual_tries: Annotated[int, Meta(ge=0, le=3)] = 1
+    try_factor: Positive = 1
+    report_every_ms: Positive = 1000
+    reports_per_s: Positive = 500
+    dial_ms: Positive = 250
+    cross_zone_price: AtLeast0 = 0
+    load_reports: Literal["answers", "probe", "none"] = "answers"
+    probe_path: Path = "/load"
+    weights: Literal["none", "nominal", "rough", "live"] = "none"
+
+
+class RecordTerms(Part, frozen=True, kw_only=True):
+    """The director's own record, from which later reports are made."""
+
+    file: str = ""
+    most_waiting: Annotated[int, Meta(ge=100, le=1_000_000)] = 20_000
+
+
+class Terms(Part, frozen=True, kw_only=True):
+    """Everything that one director is told at its start."""
+
+    name: Name
+    rank: Count = 0
+    directors: Annotated[int, Meta(ge=1, le=1000)] = 1
+    zone: Name
+    zones: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    seed: int = 1
+    files: FileTerms
+    roster: RosterTerms
+    routes: Annotated[tuple[RouteTerms, ...], Meta(min_length=1, max_length=64)]
+    channel: ChannelTerms
+    rules: RuleTerms
+    fleet: FleetTerms
+    records: RecordTerms = RecordTerms()
--- /dev/null
+++ b/willowhook/director/book.py
@@ -0,0 +1,173 @@
+"""The orders of the decision module as state: what each joined proxy is to hold, message by message.
+
+Here the orders of one moment become one message for each proxy concerned.  A message carries the whole of
+what its proxy is to hold as of that moment, not later: what is ordered afterwards has a turn of its own.
+Tables are copied when they change, so that all messages of a moment share them.  No I/O and no clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from ..host import ALL_TABLES, Facts
+
+
+class TableState:
+    """A table as of one moment.  It is not changed once a message has taken it up."""
+
+    def __init__(self, number: int, lines: dict[str, float], levels: dict[int, tuple[int, float]]) -> None:
+        self.number, self.lines, self.levels = number, lines, levels
+        self.shared = False
+        self.bodies: dict[object, bytes] = {}  # as encoded, by what else shows in it
+
+    def copy(self) -> TableState:
+        return TableState(self.number, dict(self.lines), dict(self.levels))
+
+
+@dataclass(slots=True)
+class View:
+    """What one proxy is to hold: by route its table, and the hosts withdrawn from all that it holds."""
+
+    bound: dict[int, TableState]
+    withdrawn: Mapping[str, None]
+    levels: Mapping[int, tuple[int, float]]  # for all tables
+
+
+@dataclass(slots=True)
+class Message:
+    number: int  # rises through the director's life
+    mark: int  # -1: none is asked for
+    proxy: int
+    lines: int  # with its head
+    ordered: int
+    view: View
+
+
+@dataclass(slots=True)
+class Member:
+    """A joined proxy."""
+
+    zone: str
+    held: dict[int, frozenset[str]]  # by route: the hosts that it held when it joined
+    bound: dict[int, int] = field(default_factory=dict)
+    owed: int = 0  # lines of this moment
+
+
+class OrderBook:
+    """The decision module's host for orders to proxies; `out` takes each message."""
+
+    def __init__(self, facts: Facts, out: Callable[[Message], None]) -> None:
+        self._routes, self._head = len(facts.routes), int(facts.channel.head_lines)
+        self._out = out
+        self.members: dict[int, Member] = {}
+        self.tables: dict[int, TableState] = {}
+        self._withdrawn: dict[str, None] = {}
+        self._levels: dict[int, tuple[int, float]] = {}
+        self._frozen = False  # the two above are in messages and must be copied before a change
+        self._touched: dict[int, None] = {}
+        self._mark, self._everyone = -1, False
+        self.count = 0
+
+    # Members.
+
+    def join(self, proxy: int, zone: str, held: dict[int, frozenset[str]]) -> None:
+        self.members[proxy] = Member(zone, held)
+
+    def leave(self, proxy: int) -> None:
+        self.members.pop(proxy, None)
+        self._touched.pop(proxy, None)
+
+    # Orders.
+
+    def line(self, table: int, host: str, weight: float) -> None:
+        state = self._own(table)
+        state.lines.pop(host, None)
+        if weight > 0:
+            state.lines[host] = weight
+        self._charge(self.users(table), 1)
+
+    def clear(self, table: int) -> None:
+        state = self._own(table)
+        state.lines.clear()
+        state.levels.clear()
+        self._charge(self.users(table), 1)
+
+    def withdraw(self, host: str, on: bool) -> None:
+        self._thaw()
+        if on:
+            self._withdrawn[host] = None
+        else:
+            self._withdrawn.pop(host, None)
+        self._charge([proxy for proxy, member in self.members.items() if self.holds(member, host)], 1)
+
+    def bind(self, proxy: int, table: int, routes: int) -> None:
+        member = self.members.get(proxy)
+        if member is None:
+            return
+        state = self.tables.setdefault(table, TableState(table, {}, {}))
+        for route in self._bits(routes):
+            member.bound[route] = table
+        out = sum(host in self._withdrawn for host in state.lines)
+        self._charge([proxy], 1 + len(state.lines) + len(state.levels) + len(self._levels) + out)
+
+    def allow(self, table: int, routes: int, tries: int, level: float) -> None:
+        if table == ALL_TABLES:
+            self._thaw()
+            self._levels.update((route, (tries, level)) for route in self._bits(routes))
+            self._charge(list(self.members), 1)
+            return
+        state = self._own(table)
+        state.levels.update((route, (tries, level)) for route in self._bits(routes))
+        self._charge(self.users(table), 1)
+
+    def mark(self, number: int, everyone: bool) -> None:
+        self._mark, self._everyone = number, everyone
+
+    def moment_over(self, now: int) -> None:
+        """Hands out the messages of the moment, in the order in which proxies were first concerned."""
+        if self._everyone:
+            self._charge(list(self.members), 0)
+        for proxy in self._touched:
+            member = self.members[proxy]
+            bound = {route: self.tables[table] for route, table in member.bound.items()}
+            for state in bound.values():
+                state.shared = True
+            self.count += 1
+            lines = member.owed + self._head + (self._mark >= 0)
+            view = View(bound, self._withdrawn, self._levels)
+            member.owed, self._frozen = 0, True
+            self._out(Message(self.count, self._mark, proxy, lines, now, view))
+        self._touched.clear()
+        self._mark, self._everyone = -1, False
+
+    # What is held.
+
+    def users(self, table: int) -> list[int]:
+        return [proxy for proxy, member in self.members.items() if table in member.bound.values()]
+
+    def holds(self, member: Member, host: str) -> bool:
+        """Whether a line for this host stands in anything that the proxy uses."""
+        if any(host in self.tables[table].lines for table in member.bound.values()):
+            return True
+        return any(host in hosts for route, hosts in member.held.items() if route not in member.bound)
+
+    def _bits(self, routes: int) -> list[int]:
+        return [k for k in range(self._routes) if routes == 0 or routes >> k & 1]
+
+    def _charge(self, proxies: list[int], lines: int) -> None:
+        for proxy in proxies:
+            self.members[proxy].owed += lines
+            self._touched[proxy] = None
+
+    def _own(self, table: int) -> TableState:
+        """The table, as one that may be changed."""
+        state = self.tables.get(table)
+        if state is None or state.shared:
+            state = self.tables[table] = state.copy() if state else TableState(table, {}, {})
+        state.bodies.clear()
+        return state
+
+    def _thaw(self) -> None:
+        if self._frozen:
+            self._withdrawn, self._levels, self._frozen = dict(self._withdrawn), dict(self._levels), False
--- /dev/null
+++ b/willowhook/director/channel.py
@@ -0,0 +1,68 @@
+"""The channel of one director: messages leave one after the other, at the stated rate of lines.  No I/O.
+
+What waits is measured here, against the limit of lines and the cap of messages to one proxy; the decision
+module keeps both, and a breach is told, never hidden.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ..host import ChannelTerms
+from .book import Message
+
+SECOND = 10_000
+
+
+class Channel:
+    def __init__(self, terms: ChannelTerms) -> None:
+        self._rate = terms.lines_per_s / SECOND
+        self._terms = terms
+        self._queue: deque[Message] = deque()
+        self._gone = 0  # messages to proxies that left, which still stand in the queue
+        self.waiting = 0  # lines
+        self.most, self.most_messages = 0, 0  # ever
+        self._free_at = 0.0  # when the line is free for the next message
+        self._sent: dict[int, deque[int]] = {}  # by proxy, when its last messages left
+
+    def put(self, message: Message) -> bool:
+        """False if more lines wait now than may."""
+        if not self._queue:
+            self._free_at = max(self._free_at, message.ordered)
+        self._queue.append(message)
+        self.waiting += message.lines
+        self.most = max(self.most, self.waiting)
+        return self.waiting <= self._terms.most_waiting
+
+    def due(self) -> float | None:
+        """When the first message has gone through; None if nothing waits."""
+        return self._free_at + self._queue[0].lines / self._rate if self._queue else None
+
+    def take(self, now: int) -> tuple[Message, bool] | None:
+        """The message that has gone through by now, and whether it kept the cap; None if there is none."""
+        due = self.due()
+        if due is None or due > now:
+            return None
+        message = self._queue.popleft()
+        self.waiting -= message.lines
+        self._free_at = due
+        kept = True
+        if self._terms.messages_most:
+            times = self._sent.setdefault(message.proxy, deque())
+            times.append(now)
+            while times[0] <= now - self._terms.messages_over:
+                times.popleft()
+            self.most_messages = max(self.most_messages, len(times))
+            kept = len(times) <= self._terms.messages_most
+        return message, kept
+
+    def forget(self, proxy: int) -> int:
+        """What waits for a proxy that left is lost; gives its messages' number."""
+        before = len(self._queue)
+        self._queue = deque(message for message in self._queue if message.proxy != proxy)
+        self.waiting = sum(message.lines for message in self._queue)
+        self._sent.pop(proxy, None)
+        return before - len(self._queue)
+
+    def __len__(self) -> int:
+        return len(self._queue)
--- /dev/null
+++ b/willowhook/director/render.py
@@ -0,0 +1,158 @@
+"""What a proxy is to hold, as the bytes of its three files.
+
+A table is encoded once for all who use it.  A file whose resources are the same as before keeps its version,
+so that a swap touches only what changed.  No I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..config.terms import Terms
+from ..xds import forms, tables
+from ..xds.codec import FormError, decode, encode, response
+from .book import TableState, View
+
+FILE = ".json"
+Address = tuple[str, int, str]  # address, port, zone
+Row = tuple[forms.Route, bytes, str]  # what a proxy held for a route: its route, cluster, and table's name
+
+
+@dataclass(slots=True)
+class Held:
+    """What a proxy held when it joined, from its own status."""
+
+    rows: dict[str, Row] = field(default_factory=dict)  # by route
+    assignments: dict[str, forms.ClusterLoadAssignment] = field(default_factory=dict)
+
+    def hosts(self, route: str) -> frozenset[str]:
+        row = self.rows.get(route)
+        table = self.assignments.get(row[2]) if row else None
+        return frozenset(line[0] for line in tables.lines(table)) if table else frozenset()
+
+
+def read_held(status: forms.ClientConfig) -> Held:
+    """Raises FormError where the status holds what is no proper resource."""
+    held, clusters = Held(), dict[str, tuple[bytes, str]]()
+    rows: list[forms.Route] = []
+    for config in status.generic_xds_configs:
+        body = bytes(config.xds_config)
+        if config.type_url == forms.ASSIGNMENT:
+            table = decode(body, forms.ClusterLoadAssignment)
+            tables.lines(table)
+            held.assignments[table.cluster_name] = table
+        elif config.type_url == forms.CLUSTER:
+            cluster = decode(body, forms.Cluster)
+            clusters[cluster.name] = (body, cluster.eds_cluster_config.service_name or cluster.name)
+        elif config.type_url == forms.ROUTES:
+            for host in decode(body, forms.RouteConfiguration).virtual_hosts:
+                rows += host.routes
+    for row in rows:
+        if row.route.cluster not in clusters:
+            raise FormError(f"route {row.name!r} names cluster {row.route.cluster!r}, which is not held")
+        body, name = clusters[row.route.cluster]
+        held.rows[row.name] = (row, body, name)
+    return held
+
+
+@dataclass(slots=True)
+class Files:
+    """The files of one proxy as they were last rendered."""
+
+    resources: dict[str, list[bytes]] = field(default_factory=dict)
+    bodies: dict[str, bytes] = field(default_factory=dict)
+
+
+class Renderer:
+    def __init__(self, terms: Terms, epoch: int) -> None:
+        self._terms, self._epoch = terms, epoch
+        self._prefix = f"{terms.name}.{epoch}"
+        self._dial = round(terms.fleet.dial_ms * 10)
+        self._rows: dict[object, bytes] = {}  # routes and clusters, by what is in them
+        self._addresses: Mapping[str, Address] = {}
+        self._generation = 0  # of the addresses
+
+    def readdress(self, addresses: Mapping[str, Address]) -> None:
+        """Where hosts are from now on; a host that is not named has no line in any file."""
+        if addresses != self._addresses:
+            self._addresses = addresses
+            self._generation += 1
+
+    def files(self, proxy: str, number: int, view: View, held: Held, last: Files) -> dict[str, bytes]:
+        """The files by name; those that a proxy keeps as they are, unbound as it is, are left out."""
+        assignments, clusters, rows = dict[str, bytes](), list[bytes](), list[bytes]()
+        routes = sorted(enumerate(self._terms.routes), key=lambda row: -len(row[1].path))
+        for k, route in routes:
+            state = view.bound.get(k)
+            if state is not None:
+                name = f"{self._prefix}.t{state.number}"
+                if name not in assignments:
+                    assignments[name] = self._table(name, state, view)
+                clusters.append(self._cluster(f"{route.name}@{name}", name))
+                rows.append(self._route(k, f"{route.name}@{name}", state, view))
+            elif route.name in held.rows:
+                row, body, name = held.rows[route.name]
+                if name not in assignments and name in held.assignments:
+                    assignments[name] = self._drained(held.assignments[name], view)
+                clusters.append(body)
+                rows.append(encode(row))
+        made = {"eds": list(assignments.values())}
+        if view.bound:
+            made["cds"] = clusters
+            made["rds"] = [self._route_set(rows)]
+        version = f"{self._epoch}.{number}"
+        for kind, resources in made.items():
+            if last.resources.get(kind) != resources:
+                last.resources[kind] = resources
+                last.bodies[kind + FILE] = response(version, forms.FILES[kind], version, resources)
+        return {kind + FILE: last.bodies[kind + FILE] for kind in made}
+
+    def _table(self, name: str, state: TableState, view: View) -> bytes:
+        out = tuple(host for host in state.lines if host in view.withdrawn)
+        key = (out, self._generation)
+        body = state.bodies.get(key)
+        if body is None:
+            known = [(host, weight, self._addresses.get(host)) for host, weight in state.lines.items()]
+            rows = [(host, *at, weight, host in view.withdrawn) for host, weight, at in known if at]
+            body = state.bodies[key] = encode(tables.assignment(name, rows))
+        return body
+
+    @staticmethod
+    def _drained(table: forms.ClusterLoadAssignment, view: View) -> bytes:
+        """A table of before, with what is withdrawn now: the proxy has heard of nothing else from here."""
+        rows = [(*line[:5], line[0] in view.withdrawn or line[5]) for line in tables.lines(table)]
+        return encode(tables.assignment(table.cluster_name, rows))
+
+    def _cluster(self, name: str, table: str) -> bytes:
+        body = self._rows.get(name)
+        if body is None:
+            fleet = self._terms.fleet
+            made = tables.cluster(name, table, "eds.json", fleet.pick, self._dial, fleet.strikes)
+            body = self._rows[name] = encode(made)
+        return body
+
+    def _route(self, k: int, to: str, state: TableState, view: View) -> bytes:
+        route, fleet = self._terms.routes[k], self._terms.fleet
+        tries, level = state.levels.get(k, (fleet.usual_tries, float("inf")))
+        if k in view.levels:
+            wide_tries, wide = view.levels[k]
+            tries, level = (tries if k in state.levels else wide_tries), min(level, wide)
+        key = (to, tries, level)
+        body = self._rows.get(key)
+        if body is None:
+            if len(self._rows) > 5000:  # levels of long ago
+                self._rows.clear()
+            policy = tables.retry(tries, round(fleet.try_factor * route.slo_time_ms * 10))
+            filters = tables.level(fleet.admit, level, fleet.come_back_s)
+            row = tables.route(route.name, route.path, to, round(route.time_limit_ms * 10), policy, filters)
+            body = self._rows[key] = encode(row)
+        return body
+
+    @staticmethod
+    def _route_set(rows: list[bytes]) -> bytes:
+        routes = [msgspec.Raw(row) for row in rows]
+        host = {"name": "all", "domains": ["*"], "routes": routes}
+        return encode({"@type": forms.ROUTES, "name": "calls", "virtual_hosts": [host]})
--- /dev/null
+++ b/willowhook/director/run.py
@@ -0,0 +1,544 @@
+"""One running director: a nursery of concerns round the decision module, which one task alone calls.
+
+What happens comes as calls on one bounded channel of memory.  All that is there at one time is one moment:
+the module is told of it, asked once what it wants to order, and the orders go to the publisher's queue.
+"""
+
+from __future__ import annotations
+
+import heapq
+import os
+import stat
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import structlog
+import trio
+
+from ..config.facts import facts, ticks
+from ..config.terms import Terms
+from ..files.layout import LIST, LOAD, PROXY_NAME, STATUS, Folder
+from ..files.ops import DiskOps, FileOps, remove
+from ..files.swap import Shelf, read_at, swap_file
+from ..files.watch import Watch, open_watch
+from ..records.writer import Records
+from ..roster.forms import Host, RosterError, read_hosts
+from ..roster.reader import Roster
+from ..rules import Director
+from ..web.wire import Broken, Caller, dial
+from ..xds import orca
+from .book import Message, OrderBook
+from .channel import Channel
+from .intake import REQUESTS, Intake
+from .render import Address, Files, Held, Renderer
+
+SECOND = 10_000
+MOST_PROBES = 500  # at once
+START = 100_000 * SECOND  # of this clock: hosts may have started before the machine's own clock did
+UP_FILES = (STATUS, *REQUESTS, LOAD)
+OK, ERROR, FULL, TIMED_OUT, DOWN, BROKE = range(6)  # outcomes of a probe
+Event = Callable[[int], None]
+
+
+class Orders:
+    """The decision module's host: orders to proxies go to the book, others to the service."""
+
+    def __init__(self, service: Service) -> None:
+        book = service.book
+        self.after, self.log, self.watch, self.fetch = (
+            service.wake,
+            service.say,
+            service.follow,
+            service.fetch,
+        )
+        self.probe, self.line, self.clear, self.bind = service.probe, book.line, book.clear, book.bind
+        self.allow, self.mark = book.allow, book.mark
+        self._service = service
+
+    def withdraw(self, host: str, on: bool) -> None:
+        self._service.book.withdraw(host, on)
+        self._service.records.note(self._service.clock.now(), "withdraw" if on else "readmit", host=host)
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        raise NotImplementedError("directors do not talk to each other")
+
+
+class Clock:
+    """The machine's monotonic clock in tenths of a millisecond; times of hosts' starts are brought to it."""
+
+    def __init__(self) -> None:
+        self._starts: dict[str, tuple[float, int]] = {}
+
+    def now(self) -> int:
+        return START + time.monotonic_ns() // 100_000
+
+    def start_of(self, host: Host) -> int:
+        """The same figure for one start, whatever becomes of the machine's calendar later."""
+        told, at = self._starts.get(host.id, (0.0, 0))
+        if told != host.started:
+            age = time.time() - host.started
+            at = max(1, self.now() - round(max(age, 0.0) * SECOND)) if host.started else 0
+            self._starts[host.id] = (host.started, at)
+        return at
+
+
+class Service:
+    """The director of one folder.  `run` ends when cancelled, or raises what broke."""
+
+    def __init__(self, terms: Terms, ops: FileOps | None = None, log: Any = None) -> None:
+        self.terms, self.facts = terms, facts(terms)
+        self.ops, self.clock = ops or DiskOps(), Clock()
+        self.log = (log or structlog.get_logger()).bind(director=terms.name)
+        self.folder = Folder(terms.files.folder, self.ops)
+        self.records = Records(terms.records.file, terms.records.most_waiting)
+        self.channel = Channel(self.facts.channel)
+        self._send, self._receive = trio.open_memory_channel[Event](10_000)
+        self._timers: list[tuple[int, int, int]] = []
+        self._timer_count = 0
+        self._woken = trio.Event()  # the publisher has something to do
+        self._wanted = trio.Event()  # the roster is to be followed
+        self._whole: trio.Event = trio.Event()  # the whole list is to be fetched once
+        self._probes_out = 0
+        self._decided_at = 0
+        self._names: dict[int, str] = {}
+        self._hosts: dict[str, Host] = {}
+        self._by_address: dict[str, str] = {}
+        self._shelves: dict[int, Shelf] = {}
+        self._files: dict[int, Files] = {}
+        self._held: dict[int, Held] = {}
+        self._joins = 0
+        self._unsent: dict[int, Message] = {}  # whose swap failed: the newest, which holds all
+        self._marks: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: message, mark, when ordered
+        self._put: dict[int, int] = {}  # by proxy: the message whose files lie there
+        self._known: dict[str, Address] = {}  # of all hosts ever listed
+        self._inodes: dict[str, int] = {}  # of the folders of proxies that are here
+        self._modes: dict[str, bool] = {}
+        self._noted_at = 0
+        self._nursery: trio.Nursery | None = None
+
+    # Start and end.
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Raises FolderTaken or OSError if the folder cannot be had."""
+        terms = self.terms
+        self.folder.open()
+        self._watch: Watch = open_watch(terms.files.watch, terms.files.poll_every_ms / 1000)
+        epoch = self.folder.epoch
+        self.renderer = Renderer(terms, epoch)
+        routes = tuple(route.name for route in terms.routes)
+        self.intake = Intake(self, terms.name, epoch, routes, ticks(terms.files.proxy_lost_after_ms))
+        self.book = OrderBook(self.facts, self._ordered)
+        now = self.clock.now()
+        self.director = Director(Orders(self), self.facts, terms.seed * 1000 + epoch, now)
+        self.log.info("started", epoch=epoch, folder=self.folder.path, process=os.getpid())
+        self.records.note(now, "started", director=terms.name, epoch=epoch, wall=time.time())
+        self._last_list()
+        if not terms.roster.subscribe:
+            self._wanted.set()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self.records.run, 0.1)
+                nursery.start_soon(self._beat)
+                nursery.start_soon(self._follow_roster)
+                nursery.start_soon(self._fetch_roster)
+                nursery.start_soon(self._publish)
+                nursery.start_soon(self._read_proxies)
+                nursery.start_soon(self._decide)
+                task_status.started()
+        finally:
+            self.log.info("ended", queue_most=self.channel.most, messages=self.book.count)
+            self.records.note(self.clock.now(), "ended")
+            self.records.flush()
+            self._watch.close()
+            self.folder.close()
+
+    def _mode(self, name: str, on: bool, text: str, **parts: Any) -> None:
+        """One line when a trouble begins, and one when it ends."""
+        if self._modes.get(name, False) != on:
+            self._modes[name] = on
+            (self.log.warning if on else self.log.info)(text, **parts)
+            shown = {key: str(value) for key, value in parts.items()}
+            self.records.note(self.clock.now(), "mode", name=name, on=on, **shown)
+
+    async def _beat(self) -> None:
+        """Signs of life, as long as decisions are made: a director that is stuck must look dead."""
+        patience = 10 * SECOND
+        while True:
+            if self.clock.now() - self._decided_at < patience:
+                self.folder.beat()
+            await trio.sleep(self.terms.files.beat_every_ms / 1000)
+
+    # Decisions: one task calls the module.
+
+    async def _decide(self) -> None:
+        last_look = 0
+        self._decided_at = self.clock.now()
+        while True:
+            now = self.clock.now()
+            due = self._timers[0][0] if self._timers else now + SECOND
+            events: list[Event] = []
+            with trio.move_on_after(max(due - now, 0) / SECOND):
+                events.append(await self._receive.receive())
+            while len(events) < 5000:
+                try:
+                    events.append(self._receive.receive_nowait())
+                except trio.WouldBlock:
+                    break
+            now = self._decided_at = self.clock.now()
+            for event in events:
+                event(now)
+            while self._timers and self._timers[0][0] <= now:
+                self.director.timer_due(now, heapq.heappop(self._timers)[2])
+            self.director.moment_over(now)
+            self.book.moment_over(now)
+            self._woken.set()
+            if now - last_look >= SECOND // 10:
+                last_look = now
+                self.intake.look(now)
+                self._compare(now)
+            await trio.lowlevel.checkpoint()
+
+    def _compare(self, now: int) -> None:
+        """The module's estimate of its channel beside the true queue."""
+        believed, true = self.director.channel.load(), self.channel.waiting
+        if now // SECOND != self._noted_at:
+            self._noted_at = now // SECOND
+            self.records.note(
+                now, "queue", believed=round(believed, 1), waiting=true, messages=len(self.channel)
+            )
+        apart = abs(believed - true) > max(self.facts.channel.most_waiting / 4, 100)
+        self._mode("drift", apart, "queue and estimate apart" if apart else "queue and estimate agree",
+                   believed=round(believed), waiting=true)  # fmt: skip
+
+    # Orders that are not for proxies.
+
+    def say(self, text: str) -> None:
+        self.log.info(text)
+        self.records.note(self.clock.now(), "said", text=text)
+
+    def follow(self, on: bool) -> None:
+        if on:
+            self._wanted.set()
+        else:
+            self._wanted = trio.Event()
+
+    def fetch(self) -> None:
+        self._whole.set()
+
+    def wake(self, delay: int, key: int) -> None:
+        self._timer_count += 1
+        heapq.heappush(self._timers, (self.clock.now() + max(delay, 1), self._timer_count, key))
+
+    def probe(self, host: str) -> None:
+        entry = self._hosts.get(host)
+        if entry is not None and self._nursery is not None and self._probes_out < MOST_PROBES:
+            self._probes_out += 1
+            self._nursery.start_soon(self._probe, entry)
+
+    # The channel and the files.
+
+    def _ordered(self, message: Message) -> None:
+        kept = self.channel.put(message)
+        self.intake.newest = message.number
+        self._mode("queue", not kept, "queue over its limit" if not kept else "queue within its limit",
+                   waiting=self.channel.waiting, most=self.facts.channel.most_waiting)  # fmt: skip
+        name = self._names.get(message.proxy, "")
+        self.records.note(message.ordered, "order", message=message.number, mark=message.mark, proxy=name,
+                          lines=message.lines)  # fmt: skip
+
+    async def _publish(self) -> None:
+        """Messages leave in turn; one whose swap fails is tried again until a later one holds it."""
+        retry_at = 0
+        while True:
+            now = self.clock.now()
+            while (taken := self.channel.take(now)) is not None:
+                message, kept = taken
+                if not kept:
+                    self._mode("cap", True, "more messages to one proxy than allowed", proxy=message.proxy)
+                if await self._swap(message):
+                    self._unsent.pop(message.proxy, None)
+                else:
+                    self._unsent[message.proxy] = message
+                    retry_at = now + SECOND // 5
+                now = self.clock.now()
+            if self._unsent and now >= retry_at:
+                for proxy, message in list(self._unsent.items()):
+                    if await self._swap(message):
+                        self._unsent.pop(proxy, None)
+                retry_at = self.clock.now() + SECOND // 5
+            due = self.channel.due()
+            waits = [due - now] if due is not None else []
+            waits += [retry_at - now] if self._unsent else []
+            self._woken = trio.Event()
+            with trio.move_on_after(max(min(waits, default=SECOND), 0) / SECOND):
+                await self._woken.wait()
+
+    async def _swap(self, message: Message) -> bool:
+        """Puts a message in place.  True also if its proxy has left: it is nobody's any more."""
+        proxy = message.proxy
+        shelf, name = self._shelves.get(proxy), self._names.get(proxy, "")
+        if shelf is None:
+            return True
+        files = self.renderer.files(name, message.number, message.view, self._held[proxy], self._files[proxy])
+        try:
+            if self.terms.files.durability == "none":
+                swapped = shelf.put(files)
+            else:  # a disk may take its time: the loop does not wait for it
+                swapped = await trio.to_thread.run_sync(shelf.put, files)
+        except OSError as fault:
+            self._mode("disk", True, "files cannot be swapped", proxy=name, cause=str(fault))
+            return False
+        self._mode("disk", False, "files can be swapped again", proxy=name)
+        now = self.clock.now()
+        self.records.note(now, "sent", message=message.number, proxy=name, waiting=self.channel.waiting,
+                          after=now - message.ordered, swapped=swapped)  # fmt: skip
+        if proxy in self._marks:
+            if swapped:
+                self._put[proxy] = message.number
+            # where nothing that shows has changed, the answer to what lies there answers this too
+            lies = self._put.get(proxy, 0)
+            self._marks[proxy].append((lies, message.mark, message.ordered))
+            if not swapped:
+                await self._send.send(lambda now: self._answered_already(proxy, lies))
+        return True
+
+    def _answered_already(self, proxy: int, number: int) -> None:
+        presence = self.intake.present.get(self._names[proxy])
+        if presence is not None and presence.applied >= number:
+            self.applied(proxy, number)
+
+    # The roster.
+
+    def _last_list(self) -> None:
+        """The list as this folder last had it, maybe stale."""
+        try:
+            hosts = read_hosts(read_at(None, f"{self.folder.path}/{LIST}", 1 << 26))
+        except (OSError, RosterError):
+            hosts = []
+        self._listed(self.clock.now(), hosts)
+
+    def _listed(self, now: int, hosts: list[Host]) -> None:
+        self._hosts = {host.id: host for host in hosts}
+        self._by_address.update({f"{host.address}:{host.port}": host.id for host in hosts})
+        self.renderer.readdress({**self._known, **{h.id: (h.address, h.port, h.zone) for h in hosts}})
+        self._known.update({host.id: (host.address, host.port, host.zone) for host in hosts})
+        rows = [[h.id, "draining" if h.draining else "open", h.started] for h in hosts]
+        self.records.note(now, "list", hosts=rows)
+        self.director.list_began(now, True)
+        for host in hosts:
+            mode = "terminating" if host.draining else "in_service"
+            started = self.clock.start_of(host)
+            self.director.host_listed(now, host.id, mode, started, host.cell, host.size, host.kind, host.zone)
+        self.director.list_ended(now)
+
+    async def _ask(self, roster: Roster, whole: bool) -> bool:
+        """One question; False if it failed."""
+        try:
+            hosts = await roster.ask(whole)
+        except RosterError as fault:
+            self._mode("roster", True, "no list from the roster", cause=str(fault))
+            return False
+        self._mode("roster", False, "the roster answers again")
+        if hosts is not None:
+            await self._send.send(lambda now: self._listed(now, hosts))
+            try:
+                swap_file(self.ops, self.folder.path, LIST, roster.body)
+            except OSError as fault:
+                self._mode("disk", True, "the list cannot be kept", cause=str(fault))
+        return True
+
+    def _new_roster(self) -> Roster:
+        terms = self.terms.roster
+        waits = (terms.wait_ms / 1000, terms.timeout_ms / 1000)
+        return Roster(terms.url, terms.service, *waits, agent=self.terms.name)
+
+    async def _follow_roster(self) -> None:
+        roster, whole = self._new_roster(), True
+        while True:
+            await self._wanted.wait()
+            if await self._ask(roster, whole):
+                whole = False
+                continue
+            whole = True
+            if self.terms.roster.subscribe:  # the module says when to ask again
+                self._wanted = trio.Event()
+                await self._send.send(self._list_lost)
+            else:
+                await trio.sleep(1.0)
+
+    def _list_lost(self, now: int) -> None:
+        self.director.list_lost(now)
+
+    async def _fetch_roster(self) -> None:
+        roster = self._new_roster()
+        while True:
+            await self._whole.wait()
+            self._whole = trio.Event()
+            if not await self._ask(roster, True):
+                await self._send.send(self._list_lost)
+
+    async def _probe(self, host: Host) -> None:
+        began, outcome, told = self.clock.now(), TIMED_OUT, dict[str, float]()
+        caller: Caller | None = None
+        try:
+            with trio.move_on_after(self.terms.fleet.dial_ms / 1000):
+                caller = await dial(host.address, host.port)
+                reply = await caller.call(b"GET", self.terms.fleet.probe_path.encode(), most=1 << 16)
+                outcome = OK if reply.status == 200 else FULL if reply.status == 503 else ERROR
+                told = orca.load(orca.read(reply.header(orca.HEADER) or b""))
+        except Broken as fault:
+            outcome = BROKE if fault.sent else DOWN
+        finally:
+            self._probes_out -= 1
+            if caller is not None:
+                with trio.CancelScope(shield=True):
+                    await caller.close()
+        took = self.clock.now() - began
+        await self._send.send(lambda now: self.director.probe_done(now, host.id, outcome, took, told))
+
+    # Proxies: their folders, and what the intake makes of them.
+
+    async def _read_proxies(self) -> None:
+        up, watch = self.folder.up, self._watch
+        watch.add(up, "")
+        for name in self.ops.listdir(up):
+            await self._came(name)
+        while True:
+            for key, file in await watch.changed():
+                if key:
+                    await self._news(key, file)
+                elif file:
+                    await self._came(file)
+                else:  # some news was lost
+                    for name in dict.fromkeys([*self.ops.listdir(up), *self._inodes]):
+                        await self._came(name)
+
+    async def _news(self, name: str, file: str) -> None:
+        """One file of one proxy; all of them if some news was lost."""
+        if name not in self._inodes:
+            await self._came(name)  # it had been given up, or had not shown itself whole
+            return
+        for each in [file] if file else UP_FILES:
+            data = await self._read(name, each)
+            if data is not None:
+                await self._send.send(partial(self._swapped, name, each, data))
+
+    def _swapped(self, name: str, file: str, data: bytes, now: int) -> None:
+        self.intake.swapped(now, name, file, data)
+
+    async def _read(self, name: str, file: str) -> bytes | None:
+        try:
+            return read_at(None, f"{self.folder.up}/{name}/{file}", self.terms.files.largest_report_bytes)
+        except (FileNotFoundError, NotADirectoryError):
+            return None
+        except OSError as fault:
+            cause = str(fault)
+            await self._send.send(lambda now: self.intake.unreadable(name, file, cause))
+            return None
+
+    async def _came(self, name: str) -> None:
+        """A folder came, or went, or both, or was there all the time."""
+        if not PROXY_NAME.match(name):
+            return
+        path = f"{self.folder.up}/{name}"
+        try:
+            at = os.lstat(path)
+            inode = at.st_ino if stat.S_ISDIR(at.st_mode) else 0
+            if inode and self._inodes.get(name) != inode:
+                self._watch.add(path, name)
+        except OSError:
+            inode = 0
+        if not inode:
+            self._watch.drop(name)
+            self._inodes.pop(name, None)
+            await self._send.send(lambda now: self.intake.gone(now, name, "its folder is gone"))
+        elif self._inodes.get(name) == inode:
+            await self._news(name, "")
+        else:
+            files = {file: await self._read(name, file) for file in UP_FILES}
+            found = {file: data for file, data in files.items() if data is not None}
+            self._inodes[name] = inode
+            await self._send.send(partial(self._appeared, name, inode, found))
+
+    def _appeared(self, name: str, inode: int, found: dict[str, bytes], now: int) -> None:
+        if self.intake.appeared(now, name, found):
+            self._inodes[name] = inode
+        else:  # looked at again when it puts the next file in place
+            self._inodes.pop(name, None)
+
+    # The intake's ear.
+
+    def joined(self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held) -> None:
+        now = self.clock.now()
+        self._joins += 1
+        self._names[proxy], self._held[proxy], self._files[proxy] = name, held, Files()
+        series = f"{self.folder.epoch}-{self._joins}-"
+        shelf = Shelf(f"{self.folder.down}/{name}", self.ops, self.terms.files.durability, series)
+        try:
+            shelf.open()
+        except OSError as fault:
+            self._mode("disk", True, "a proxy's folder cannot be made", proxy=name, cause=str(fault))
+        self._shelves[proxy], self._marks[proxy] = shelf, []
+        hosts = {k: held.hosts(route.name) for k, route in enumerate(self.terms.routes)}
+        self.book.join(proxy, zone, hosts)
+        self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh)
+        self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh)
+        self.director.proxy_joined(now, proxy, zone, rate, fresh)
+
+    def left(self, proxy: int, name: str, why: str) -> None:
+        now = self.clock.now()
+        self.book.leave(proxy)
+        self.channel.forget(proxy)
+        books: tuple[dict[int, Any], ...] = (self._shelves, self._files, self._held, self._marks)
+        for known in (*books, self._unsent, self._put):
+            known.pop(proxy, None)
+        self._inodes.pop(name, None)
+        try:
+            remove(self.ops, f"{self.folder.down}/{name}")
+        except OSError as fault:
+            self._mode("disk", True, "a proxy's folder cannot be cleared", proxy=name, cause=str(fault))
+        self.records.note(now, "left", proxy=name, why=why)
+        self.log.info("proxy left", proxy=name, why=why)
+        self.director.proxy_left(now, proxy)
+
+    def applied(self, proxy: int, number: int) -> None:
+        """The module is told of the newest mark that this proves to have been applied."""
+        now, book = self.clock.now(), self._marks.get(proxy, [])
+        done = [row for row in book if row[0] <= number]
+        if not done:
+            return
+        del book[: len(done)]
+        _, mark, ordered = done[-1]
+        self.records.note(now, "applied", message=number, proxy=self._names[proxy], after=now - ordered)
+        if mark >= 0:
+            self.director.mark_answered(now, proxy, mark, now - ordered)
+
+    def refused(self, proxy: int, kind: str, number: int, cause: str) -> None:
+        name = self._names[proxy]
+        self.log.warning("refused by a proxy", proxy=name, form=kind, message=number, cause=cause)
+        self.records.note(self.clock.now(), "refused", proxy=name, form=kind, message=number, cause=cause)
+
+    def heard(
+        self,
+        proxy: int,
+        address: str,
+        tries: int,
+        errors: int,
+        mean: int,
+        window: int,
+        told: dict[str, float],
+    ) -> None:
+        host = self._by_address.get(address)
+        if host is not None:
+            zone = self.book.members[proxy].zone
+            self.director.hosts_heard(self.clock.now(), host, zone, tries, errors, mean, window, told)
+
+    def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
+        self.director.calls_came(self.clock.now(), proxy, route, calls, dropped, window)
+
+    def fault(self, name: str, cause: str) -> None:
+        self.log.warning("bad file of a proxy", proxy=name, cause=cause)
+        self.records.note(self.clock.now(), "fault", proxy=name, cause=cause)
--- /dev/null
+++ b/willowhook/files/layout.py
@@ -0,0 +1,92 @@
+"""Where things lie in a director's folder, and the lock that makes it one director's.
+
+FOLDER/lock                     held by the director; its time of change is the director's sign of life
+FOLDER/epoch                    how many directors started here
+FOLDER/list                     the last list of hosts that the roster gave
+FOLDER/down/PROXY/current/      cds.json eds.json rds.json: what the director tells the proxy
+FOLDER/up/PROXY/                cds.json eds.json rds.json load.json status.json: what the proxy tells
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import re
+import time
+
+from .ops import DiskOps, FileOps, remove
+from .swap import TEMP, clear_leftovers, read_at, swap_file
+
+LOCK, EPOCH, LIST, DOWN, UP = "lock", "epoch", "list", "down", "up"
+LOAD, STATUS = "load.json", "status.json"
+PROXY_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}\Z")
+
+
+class FolderTaken(Exception):
+    """Another director holds this folder."""
+
+
+class Folder:
+    """One director's folder.  `open` raises FolderTaken, or OSError if it cannot be used."""
+
+    def __init__(self, path: str, ops: FileOps | None = None) -> None:
+        self.path, self.ops = os.path.abspath(path), ops or DiskOps()
+        self.down, self.up = f"{self.path}/{DOWN}", f"{self.path}/{UP}"
+        self.epoch, self._lock = 0, -1
+
+    def open(self) -> None:
+        """Locks the folder, counts this start, and clears what a director that died left behind."""
+        os.makedirs(self.path, exist_ok=True)
+        fd = os.open(f"{self.path}/{LOCK}", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as fault:
+            owner = os.pread(fd, 200, 0).decode("ascii", "replace").strip() or "another process"
+            os.close(fd)
+            raise FolderTaken(f"{self.path} is in use by {owner}; one folder serves one director") from fault
+        self._lock = fd
+        for path in (self.down, self.up):
+            with contextlib.suppress(FileExistsError):
+                self.ops.mkdir(path)
+        for name in self.ops.listdir(self.path):
+            if name.startswith(TEMP):
+                remove(self.ops, f"{self.path}/{name}")
+        here = set(self.ops.listdir(self.up))
+        for name in self.ops.listdir(self.down):
+            if name in here:
+                clear_leftovers(self.ops, f"{self.down}/{name}")
+            else:  # nobody reads it
+                remove(self.ops, f"{self.down}/{name}")
+        self.epoch = self._next_epoch()
+        os.ftruncate(fd, 0)
+        os.pwrite(fd, f"process {os.getpid()}, epoch {self.epoch}\n".encode(), 0)
+        self.beat()
+
+    def _next_epoch(self) -> int:
+        """Rises at every start; on disk before anything is said under it."""
+        try:
+            last = int(read_at(None, f"{self.path}/{EPOCH}", 100))
+        except FileNotFoundError:
+            last = 0
+        except ValueError:  # damaged: the time is larger than any count of starts
+            last = int(time.time())
+        swap_file(self.ops, self.path, EPOCH, f"{last + 1}\n".encode(), "file_and_folder")
+        return last + 1
+
+    def beat(self) -> None:
+        """The sign of life that proxies look at: the lock's time of change."""
+        os.utime(self._lock)
+
+    def close(self) -> None:
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+
+def last_beat(folder: str) -> float:
+    """When the director of this folder last gave a sign of life, by the machine's clock; 0 if never."""
+    try:
+        return os.stat(f"{folder}/{LOCK}").st_mtime
+    except OSError:
+        return 0.0
--- /dev/null
+++ b/willowhook/trial/stage.py
@@ -0,0 +1,503 @@
+"""Runs one day on loopback: starts all there is, lets troubles strike, ends it, and has it judged."""
+
+from __future__ import annotations
+
+import json
+import math
+import os
+import random
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import IO, Any
+
+import msgspec
+import trio
+
+from ..config.facts import ticks as ms_ticks
+from .day import ZONES, Day, HostPlan, Trouble, terms_of
+from .judge import Judge, Limits, Verdict
+from .notes import SECOND, Notes, read_notes, ticks
+from .standin_client import ClientOrders
+from .standin_host import HostOrders
+from .standin_proxy import DirectorPlace, ProxyOrders
+from .standin_roster import StandInRoster
+
+SPREAD_MS = 50  # fleets of up to so many proxies are one process
+
+
+@dataclass
+class HostProcess:
+    plan: HostPlan
+    process: subprocess.Popen[bytes] | None = None
+    draining: bool = False
+    warm_from: int = 0
+
+
+@dataclass
+class Outcome:
+    verdicts: list[Verdict]
+    service: float
+    by_route: dict[str, float]
+    worst: float  # of ten-second stretches
+    calls: int
+    answered: int
+    throttled: int
+    dropped: int
+    directors: dict[str, dict[str, float]] = field(default_factory=dict)
+
+    @property
+    def kept(self) -> bool:
+        return all(verdict.kept for verdict in self.verdicts)
+
+
+class Stage:
+    """`how`: `director`, or a baseline: `standing` (no director) or `static` (one table of all hosts)."""
+
+    def __init__(
+        self, day: Day, folder: Path, how: str = "director", director: Sequence[str] = (),
+        say: Callable[[str], None] = lambda text: None, durability: str = "none",
+    ) -> None:  # fmt: skip
+        self.day, self.folder, self.how, self.say = day, folder, how, say
+        self.command = list(director) or [sys.executable, "-m", "willowhook.cli"]
+        self.durability = durability
+        folder.mkdir(parents=True, exist_ok=True)
+        self.notes = Notes(str(folder / "stage.notes"))
+        self.chance = random.Random(day.seed + 5)
+        self.hosts = {plan.id: HostProcess(plan) for plan in day.hosts}
+        self.spare = (
+            [plan.id for plan in day.hosts[len(day.hosts) - day.host_slots :]] if day.host_slots else []
+        )
+        self.roster = StandInRoster(Notes(str(folder / "roster.notes")), day.roster_late_s)
+        self.directors: dict[int, subprocess.Popen[bytes]] = {}
+        self.crews: list[tuple[list[str], subprocess.Popen[bytes]]] = []
+        self.logs: list[IO[bytes]] = []
+        self.usage: dict[str, dict[str, float]] = {}
+        self.starts = 0
+
+    # Processes.
+
+    def start(self, args: list[str], log: str, **kind: Any) -> subprocess.Popen[bytes]:
+        file = open(self.folder / log, "ab")  # noqa: SIM115 - closed with the stage
+        self.logs.append(file)
+        return subprocess.Popen(args, stderr=file, stdin=subprocess.PIPE, **kind)
+
+    async def start_host(self, host: HostProcess, cold: bool) -> None:
+        rules = self.day.rules
+        self.starts += 1
+        windows = {
+            route.name: route.window_ms / 1000 for route in self.day.routes if route.semantics == "keyed"
+        }
+        marks = self.folder / f"marks-{host.plan.zone}"
+        marks.mkdir(exist_ok=True)
+        orders = HostOrders(
+            host.plan, str(self.folder / f"{host.plan.id}.notes"), str(marks),
+            self.day.seed * 100 + self.starts,
+            windows, rules.start_capacity, rules.cold_ms / 1000 if cold else 0.0, rules.fall_multiple,
+            rules.fall_ms / 1000,
+        )  # fmt: skip
+        args = [sys.executable, "-m", "willowhook.trial.standin_host", msgspec.json.encode(orders).decode()]
+        host.process = self.start(args, "hosts.log", stdout=subprocess.PIPE)
+        out = host.process.stdout
+        assert out is not None
+        port = await trio.to_thread.run_sync(out.readline)
+        host.plan.port = int(port)
+        host.draining = False
+        if cold:
+            host.warm_from = ticks() + round(rules.cold_ms * 10)
+        self.roster.show(host.plan, started=time.time() if cold else 0.0)
+
+    def tell(self, process: subprocess.Popen[bytes] | None, **order: Any) -> None:
+        if process is not None and process.poll() is None and process.stdin is not None:
+            try:
+                process.stdin.write(json.dumps(order).encode() + b"\n")
+                process.stdin.flush()
+            except BrokenPipeError:
+                return  # it has just died
+
+    def tell_crews(self, **order: Any) -> None:
+        for _, process in self.crews:
+            self.tell(process, **order)
+
+    def director_folder(self, rank: int) -> str:
+        return str(self.folder / f"director-{rank}")
+
+    def start_director(self, rank: int) -> None:
+        url = f"http://127.0.0.1:{self.roster.port}"
+        records = str(self.folder / f"director-{rank}.records")
+        terms = terms_of(self.day, rank, self.director_folder(rank), url, records, durability=self.durability)
+        path = self.folder / f"director-{rank}.json"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(terms)))
+        args = [*self.command, "director", "--config", str(path), "--log-format", "json"]
+        self.directors[rank] = self.start(args, f"director-{rank}.log")
+        self.notes.note("director_up", d=f"director-{rank}")
+
+    def kill_director(self, rank: int) -> None:
+        process = self.directors.pop(rank)
+        self.note_usage(rank, process.pid)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+        self.notes.note("director_died", d=f"director-{rank}")
+
+    def note_usage(self, rank: int, pid: int) -> None:
+        try:
+            parts = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+            cpu = (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
+            rss = int(parts[21]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+        except OSError:
+            return
+        book = self.usage.setdefault(f"director-{rank}", {"cpu_s": 0.0, "rss_mb": 0.0})
+        book["cpu_s"] += cpu
+        book["rss_mb"] = max(book["rss_mb"], rss)
+
+    def open_hosts(self) -> list[tuple[str, str, int, str]]:
+        """What the roster shows as open."""
+        shown = self.roster.entries
+        return [
+            (plan.id, "127.0.0.1", plan.port, plan.zone)
+            for plan in (host.plan for host in self.hosts.values())
+            if plan.id in shown and not shown[plan.id]["Checks"]
+        ]
+
+    async def start_proxies(self) -> None:
+        day, fleet = self.day, self.day.fleet
+        places = [
+            DirectorPlace(f"director-{rank}", self.director_folder(rank), ZONES[rank % 2])
+            for rank in range(day.directors)
+        ]
+        parts = math.ceil(len(day.proxies) / SPREAD_MS)
+        for part in range(parts):
+            plans = day.proxies[part::parts]
+            orders = ProxyOrders(
+                plans, places, self.open_hosts(), day.routes, str(self.folder / f"proxies{part}.notes"),
+                day.seed + part, fleet.standing, fleet.pick, fleet.strikes, 4.0, fleet.dial_ms / 1000,
+                fleet.report_every_ms / 1000, day.director_lost_after_s, day.redial_s, day.calls_per_s,
+                fixed=self.how != "director",
+            )  # fmt: skip
+            if self.how == "standing":
+                orders = msgspec.structs.replace(orders, fixed=False, directors=[])
+            path = self.folder / f"proxies{part}.json"
+            path.write_bytes(msgspec.json.encode(orders))
+            args = [sys.executable, "-m", "willowhook.trial.standin_proxy", f"@{path}"]
+            process = self.start(args, "proxies.log", stdout=subprocess.PIPE)
+            out = process.stdout
+            assert out is not None
+            await trio.to_thread.run_sync(out.readline)
+            self.crews.append(([plan.id for plan in plans], process))
+
+    # The day.
+
+    async def run(self) -> Outcome:
+        day = self.day
+        scope = trio.CancelScope()
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.roster.notes.run)
+                await nursery.start(self.roster.run)
+                self.nursery = nursery
+                try:
+                    await self.play(nursery)
+                finally:
+                    self.end()
+                    scope.cancel()
+        self.roster.notes.flush()
+        return self.outcome(day)
+
+    async def play(self, nursery: trio.Nursery) -> None:
+        day = self.day
+        self.roster._nursery = None  # what is listed at the start is shown at once
+        first = [host for host in self.hosts.values() if host.plan.id not in self.spare]
+        for group in range(0, len(first), 16):
+            async with trio.open_nursery() as starts:
+                for host in first[group : group + 16]:
+                    starts.start_soon(self.start_host, host, False)
+        self.roster._nursery = nursery
+        if self.how == "director":
+            for rank in range(day.directors):
+                self.start_director(rank)
+        ports = free_ports(len(day.proxies))
+        for plan, port in zip(day.proxies, ports, strict=True):
+            plan.port = port
+        if self.how == "director":
+            await trio.sleep(1.0)
+        await self.start_proxies()
+        path = self.folder / "day.json"
+        path.write_bytes(msgspec.json.encode(day))
+        self.zero = ticks() + SECOND
+        parts = math.ceil(day.calls_per_s / 300)
+        clients = []
+        for part in range(parts):
+            orders = ClientOrders(
+                str(path), ports, str(self.folder / f"clients{part}.notes"), self.zero, part, parts
+            )
+            args = [
+                sys.executable,
+                "-m",
+                "willowhook.trial.standin_client",
+                msgspec.json.encode(orders).decode(),
+            ]
+            clients.append(self.start(args, "clients.log"))
+        for trouble in day.troubles:
+            wait = (self.zero - ticks()) / SECOND + trouble.at_s
+            if wait > 0:
+                await trio.sleep(wait)
+            strike = getattr(self, f"strike_{trouble.kind}", None)
+            if strike is not None:
+                self.say(f"{trouble.at_s:6.1f} s  {trouble.kind}, {trouble.for_s:.1f} s")
+                self.notes.note("trouble", what=trouble.kind)
+                nursery.start_soon(strike, trouble)
+        longest = max(route.time_limit_ms for route in day.routes) / 1000
+        with trio.move_on_after((self.zero - ticks()) / SECOND + day.length_s + longest + 5):
+            for client in clients:
+                await trio.to_thread.run_sync(client.wait, abandon_on_cancel=True)
+
+    def end(self) -> None:
+        for rank, process in self.directors.items():
+            self.note_usage(rank, process.pid)
+        processes = [process for _, process in self.crews]
+        processes += [host.process for host in self.hosts.values() if host.process]
+        for process in processes:
+            if process.stdin:
+                process.stdin.close()
+        for process in self.directors.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for process in [*processes, *self.directors.values()]:
+            try:
+                process.wait(10)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        for process in processes:
+            if process.stdout:
+                process.stdout.close()
+        for file in self.logs:
+            file.close()
+        self.notes.flush()
+
+    def limits(self) -> Limits:
+        day = self.day
+        routes: dict[str, str] = {route.name: route.semantics for route in day.routes}
+        windows = {route.name: ms_ticks(route.window_ms) for route in day.routes}
+        return Limits(
+            ms_ticks(day.rules.bare_ms), ms_ticks(day.rules.drain_grace_ms), ms_ticks(day.rules.cold_ms),
+            day.channel.most_waiting_lines, day.channel.lines_per_s, day.channel.messages_most,
+            ms_ticks(day.channel.messages_over_ms), routes, windows,
+        )  # fmt: skip
+
+    def outcome(self, day: Day) -> Outcome:
+        verdicts = Judge(self.folder, self.limits(), self.zero).judge() if self.how == "director" else []
+        calls = [row for path in self.folder.glob("clients*.notes") for row in read_notes(str(path))]
+        routes = {route.name: route for route in day.routes}
+        worth: dict[str, list[float]] = {}
+        stretches: dict[int, list[float]] = {}
+        counts = {"answered": 0, "throttled": 0, "dropped": 0}
+        for row in calls:
+            route = routes[row["r"]]
+            counts[row["out"]] += 1
+            got = 0.0
+            if row["out"] == "answered":
+                got = 1.0 if row["took"] <= route.slo_time_ms * 10 else route.late_importance
+            for book in (
+                worth.setdefault(route.name, [0.0, 0.0]),
+                stretches.setdefault((row["began"] - self.zero) // (10 * SECOND), [0.0, 0.0]),
+            ):
+                book[0] += got * route.importance
+                book[1] += route.importance
+        total = [sum(column) for column in zip(*worth.values(), strict=True)] if worth else [0.0, 1.0]
+        return Outcome(
+            verdicts, total[0] / total[1], {name: a / b for name, (a, b) in sorted(worth.items())},
+            min((a / b for a, b in stretches.values() if b > 50), default=0.0), len(calls),
+            counts["answered"], counts["throttled"], counts["dropped"], self.usage,
+        )  # fmt: skip
+
+    # Troubles.  Each is given its row, strikes, waits, and mends what it can.
+
+    def some_hosts(self, part: float) -> list[HostProcess]:
+        """Hosts that are up and serving; never so many that none is left."""
+        up = [h for h in self.hosts.values() if h.process and h.process.poll() is None and not h.draining]
+        up = [h for h in up if ticks() >= h.warm_from]
+        count = min(max(1, round(part * len(self.day.hosts))), max(len(up) - 3, 0))
+        return self.chance.sample(up, count)
+
+    def some_proxies(self, part: float) -> list[str]:
+        names = [plan.id for plan in self.day.proxies]
+        return self.chance.sample(names, max(1, round(part * len(names))))
+
+    async def on_hosts(self, row: Trouble, name: str, value: Any, back: Any) -> None:
+        hosts = [(host, host.process) for host in self.some_hosts(row.part)]
+        for _, process in hosts:
+            self.tell(process, do="set", name=name, value=value)
+        await trio.sleep(row.for_s)
+        for _, process in hosts:
+            self.tell(process, do="set", name=name, value=back)
+
+    async def strike_host_hang(self, row: Trouble) -> None:
+        await self.on_hosts(row, "hang", True, False)
+
+    async def strike_host_slow(self, row: Trouble) -> None:
+        await self.on_hosts(row, "slow", row.size or 3.0, 1.0)
+
+    async def strike_fast_errors(self, row: Trouble) -> None:
+        await self.on_hosts(row, "fail", row.size or 0.7, 0.0)
+
+    async def strike_route_unanswered(self, row: Trouble) -> None:
+        await self.on_hosts(row, "unanswered", row.route or self.day.routes[0].name, "")
+
+    async def strike_false_load(self, row: Trouble) -> None:
+        await self.on_hosts(row, "false_load", row.size, -1.0)
+
+    async def strike_conn_squeeze(self, row: Trouble) -> None:
+        await self.on_hosts(row, "squeeze", row.size or 0.05, 1.0)
+
+    async def crash(self, host: HostProcess) -> None:
+        if host.process is not None:
+            host.process.kill()
+            await trio.to_thread.run_sync(host.process.wait)
+            if host.process.stdin:
+                host.process.stdin.close()
+            if host.process.stdout:
+                host.process.stdout.close()
+            host.process = None
+        self.roster.hide(host.plan.id)
+
+    async def strike_host_crash(self, row: Trouble) -> None:
+        hosts = self.some_hosts(row.part)
+        for host in hosts:
+            await self.crash(host)
+        await trio.sleep(row.for_s)
+        for host in hosts:
+            await self.start_host(host, True)
+
+    async def strike_decline(self, row: Trouble) -> None:
+        """Slower and slower, then dead, and back."""
+        hosts = self.some_hosts(row.part)
+        for step in range(1, 6):
+            for host in hosts:
+                self.tell(host.process, do="set", name="slow", value=1.0 + step)
+            await trio.sleep(row.for_s / 5)
+        for host in hosts:
+            await self.crash(host)
+        await trio.sleep(2)
+        for host in hosts:
+            await self.start_host(host, True)
+
+    async def drain(self, host: HostProcess, for_s: float) -> None:
+        """Told to the roster first; the host goes on for a while and then ends."""
+        host.draining = True
+        self.roster.show(host.plan, draining=True)
+        await trio.sleep(for_s)
+        await self.crash(host)
+
+    async def strike_deploy(self, row: Trouble) -> None:
+        """Hosts are replaced one after the other; each successor starts cold."""
+        hosts = self.some_hosts(row.part)
+        async with trio.open_nursery() as nursery:
+            for host in hosts:
+                nursery.start_soon(self.replace, host)
+                await trio.sleep(row.for_s / max(len(hosts), 1))
+
+    async def replace(self, host: HostProcess) -> None:
+        await self.drain(host, 3.5)
+        await trio.sleep(0.5)
+        await self.start_host(host, True)
+
+    async def strike_shrink(self, row: Trouble) -> None:
+        for host in self.some_hosts(row.part):
+            self.nursery.start_soon(self.drain, host, row.for_s)
+
+    async def strike_grow(self, row: Trouble) -> None:
+        for name in self.spare:
+            if self.hosts[name].process is None:
+                await self.start_host(self.hosts[name], True)
+
+    async def strike_burst(self, row: Trouble) -> None:
+        """It is in the arrivals."""
+
+    async def strike_roster_away(self, row: Trouble) -> None:
+        self.roster.away = True
+        self.roster._wake()
+        await trio.sleep(row.for_s)
+        self.roster.away = False
+
+    async def strike_roster_frozen(self, row: Trouble) -> None:
+        self.roster.frozen = True
+        await trio.sleep(row.for_s)
+        self.roster.thaw()
+
+    async def strike_roster_lies(self, row: Trouble) -> None:
+        self.roster.body_instead = b'[{"Service": {"ID": "x", "Port": 99999}}]'
+        self.roster._wake()
+        await trio.sleep(row.for_s)
+        self.roster.body_instead = None
+
+    async def strike_director_killed(self, row: Trouble) -> None:
+        if self.directors:
+            rank = self.chance.choice(sorted(self.directors))
+            self.kill_director(rank)
+            await trio.sleep(row.for_s)
+            self.start_director(rank)
+
+    async def strike_disk_full(self, row: Trouble) -> None:
+        """No file of a director can grow: each write fails as on a full disk."""
+        if self.directors:
+            process = self.directors[self.chance.choice(sorted(self.directors))]
+            limits = resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+            await trio.sleep(row.for_s)
+            if process.poll() is None:
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+
+    async def strike_proxy_killed(self, row: Trouble) -> None:
+        names = self.some_proxies(row.part)
+        self.tell_crews(do="kill", proxies=names)
+        await trio.sleep(row.for_s)
+        self.tell_crews(do="start", proxies=names, hosts=self.open_hosts())
+
+    async def strike_streams_lost(self, row: Trouble) -> None:
+        self.tell_crews(do="drop_streams", proxies=self.some_proxies(row.part or 0.5), away_s=row.for_s)
+
+    async def strike_no_director(self, row: Trouble) -> None:
+        self.tell_crews(do="drop_streams", proxies=self.some_proxies(row.part or 0.5), away_s=row.for_s)
+
+    async def strike_zone_cut(self, row: Trouble) -> None:
+        self.tell_crews(do="cut", zones=[self.chance.choice(ZONES)])
+        await trio.sleep(row.for_s)
+        self.tell_crews(do="cut", zones=[])
+
+    async def strike_one_sided(self, row: Trouble) -> None:
+        hosts = [host.plan.id for host in self.some_hosts(row.part)]
+        proxies = self.some_proxies(0.5)
+        self.tell_crews(do="lossy", proxies=proxies, hosts=hosts, share=row.size or 0.5)
+        await trio.sleep(row.for_s)
+        self.tell_crews(do="lossy", proxies=[], hosts=[], share=0)
+
+
+TROUBLES = sorted(name.removeprefix("strike_") for name in dir(Stage) if name.startswith("strike_"))
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody uses now."""
+    import socket
+
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [int(sock.getsockname()[1]) for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def play(day: Day, folder: Path, how: str = "director", **more: Any) -> Outcome:
+    """One day, from its start to its verdict, in a folder of its own that is left for reading."""
+    if folder.exists():
+        shutil.rmtree(folder)
+    stage = Stage(day, folder, how, **more)
+    return trio.run(partial(stage.run))
--- /dev/null
+++ b/willowhook/trial/standin_proxy.py
@@ -0,0 +1,585 @@
+"""Stand-in proxies: each an HTTP front that does what its files say, and judges nothing by itself.
+
+`python -m willowhook.trial.standin_proxy FILE`, many proxies in one process.  A proxy starts with a standing
+table, joins one director at a time through that director's folder, applies a group of files whole or refuses
+it and keeps the last good one, and goes on with what it holds when its director is gone.
+"""
+
+from __future__ import annotations
+
+import math
+import os
+import random
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import msgspec
+import trio
+
+from ..config.terms import RouteTerms
+from ..files.follow import Followers
+from ..files.layout import DOWN, LOAD, STATUS, UP, last_beat
+from ..files.ops import DiskOps
+from ..files.swap import read_group, swap_file
+from ..web.wire import Broken, Call, Caller, Reply, answer_calls, dial
+from ..xds import forms, orca, tables
+from ..xds.codec import FormError, encode, read_response, seconds
+from .day import ProxyPlan
+from .notes import SECOND, Notes, obey, ticks
+
+
+class DirectorPlace(msgspec.Struct):
+    name: str
+    folder: str
+    zone: str
+
+
+class ProxyOrders(msgspec.Struct):
+    proxies: list[ProxyPlan]
+    directors: list[DirectorPlace]
+    hosts: list[tuple[str, str, int, str]]  # open at the start: id, address, port, zone
+    routes: list[RouteTerms]
+    notes: str
+    seed: int
+    standing: int
+    pick: str
+    strikes: int
+    shun_s: float
+    dial_s: float
+    report_s: float
+    lost_after_s: float
+    redial_s: float
+    usual_calls_per_s: float
+    watch: str = "inotify"
+    poll_s: float = 0.02
+    fixed: bool = False  # no director: a table of all hosts, for a baseline
+    refuse: float = 0.0  # share of groups that are refused, to try the director
+
+
+@dataclass(slots=True)
+class Bucket:
+    rate: float
+    most: float
+    level: float
+    at: int
+
+    def take(self, now: int) -> bool:
+        self.level = min(self.most, self.level + self.rate * (now - self.at) / SECOND)
+        self.at = now
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+@dataclass(slots=True)
+class HostSide:
+    """What a proxy has of one host."""
+
+    address: str
+    port: int
+    zone: str
+    idle: list[Caller] = field(default_factory=list)
+    out: int = 0
+    strikes: int = 0
+    shunned_until: int = 0
+
+
+@dataclass(slots=True)
+class Sums:
+    good: int = 0
+    bad: int = 0
+    spent: float = 0.0
+    told: dict[str, list[float]] = field(default_factory=dict)
+
+
+class StandInProxy:
+    def __init__(self, orders: ProxyOrders, plan: ProxyPlan, crew: Crew) -> None:
+        self.o, self.plan, self.crew, self.notes = orders, plan, crew, crew.notes
+        self.chance = random.Random(f"{orders.seed} {plan.id}")
+        self.sides: dict[str, HostSide] = {}
+        self.sums: dict[tuple[str, str], Sums] = {}  # by cluster and address
+        self.dropped: dict[str, int] = {}
+        self.asked_at = ticks()
+        self.buckets: dict[str, tuple[object, Bucket]] = {}
+        self.director: DirectorPlace | None = None
+        self.version = (0, 0)
+        self.versions: dict[str, tuple[str, str]] = {}  # by kind: version and nonce applied
+        self.floor = (0, 0)  # versions up to this were there before joining
+        self.away_until = 0
+        self.stand()
+
+    # What it holds.
+
+    def stand(self) -> None:
+        """The standing table: some hosts of its own zone, drawn by chance."""
+        near = [row for row in self.o.hosts if row[3] == self.plan.zone]
+        pool = near if len(near) >= 3 else self.o.hosts
+        drawn = self.o.hosts if self.o.fixed else self.chance.sample(pool, min(self.o.standing, len(pool)))
+        lines = [(host, address, port, zone, 1.0, False) for host, address, port, zone in drawn]
+        self.assignments = {"standing": tables.assignment("standing", lines)}
+        self.clusters, rows = {}, []
+        for route in self.o.routes:
+            name = f"{route.name}@standing"
+            pick, dial_ticks = self.o.pick, round(self.o.dial_s * SECOND)
+            self.clusters[name] = tables.cluster(name, "standing", "", pick, dial_ticks, self.o.strikes)
+            limit = round(route.time_limit_ms * 10)
+            rows.append(tables.route(route.name, route.path, name, limit, tables.retry(1, 0), {}))
+        self.routes = tables.route_set("calls", rows).virtual_hosts[0].routes
+        self.settle()
+
+    def settle(self) -> None:
+        """Looks up what calls will need; by route the lines that may be picked."""
+        self.lines: dict[str, list[tuple[str, float]]] = {}
+        for route in self.routes:
+            cluster = self.clusters[route.route.cluster]
+            table = self.assignments[cluster.eds_cluster_config.service_name]
+            usable = []
+            for host, address, port, zone, weight, out in tables.lines(table):
+                side = self.sides.get(host)
+                if side is None or (side.address, side.port) != (address, port):
+                    side = self.sides[host] = HostSide(address, port, zone)
+                if not out:
+                    usable.append((host, weight))
+            self.lines[route.name] = usable
+        held = {host for rows in self.lines.values() for host, _ in rows}
+        for host, side in self.sides.items():
+            if host not in held and side.idle:  # connections to hosts that left its tables are closed
+                for caller in side.idle:
+                    self.crew.later(caller.close)
+                side.idle.clear()
+
+    def take(self, files: dict[str, bytes]) -> None:
+        """A group of files: applied whole, or refused and what was held stays."""
+        kinds: dict[str, tuple[str, str]] = {}
+        try:
+            assignments, clusters, routes = dict(self.assignments), dict(self.clusters), self.routes
+            for kind, type_url in forms.FILES.items():
+                if (data := files.get(kind + ".json")) is None:
+                    continue
+                envelope = read_response(data, type_url)
+                kinds[kind] = (envelope.version_info, envelope.nonce)
+            newest = max((self.number(version) for version, _ in kinds.values()), default=(0, 0))
+            if newest <= max(self.version, self.floor):  # an older one, or of before it joined
+                return
+            if self.o.refuse and self.chance.random() < self.o.refuse:
+                raise FormError("refused by chance")
+            if "eds" in kinds:
+                for table in tables.read_tables(files["eds.json"])[1]:
+                    assignments[table.cluster_name] = table
+            if "cds" in kinds:
+                clusters = {row.name: row for row in tables.read_clusters(files["cds.json"])[1]}
+            if "rds" in kinds:
+                sets = tables.read_routes(files["rds.json"])[1]
+                routes = sets[0].virtual_hosts[0].routes
+            for route in routes:
+                cluster = clusters.get(route.route.cluster)
+                if cluster is None:
+                    raise FormError(f"route {route.name!r} names no cluster: {route.route.cluster!r}")
+                if cluster.eds_cluster_config.service_name not in assignments:
+                    raise FormError(f"cluster {cluster.name!r} has no table")
+                tables.level_of(route.typed_per_filter_config)
+        except (FormError, IndexError) as fault:
+            self.crew.refused += 1
+            self.notes.note("refused", p=self.plan.id, d=self.name_of_director(), cause=str(fault))
+            self.answer_config(kinds, str(fault) or "incomplete")
+            return
+        used = {clusters[route.route.cluster].eds_cluster_config.service_name for route in routes}
+        self.assignments = {name: table for name, table in assignments.items() if name in used}
+        self.clusters, self.routes, self.version = clusters, routes, newest
+        self.settle()
+        self.crew.applied += 1
+        held = {host for rows in self.lines.values() for host, _ in rows}
+        usable = {name: len(rows) for name, rows in self.lines.items()}
+        self.notes.note("applied", p=self.plan.id, d=self.name_of_director(), v=newest, usable=usable,
+                        hosts=sorted(held))  # fmt: skip
+        self.answer_config(kinds, "")
+
+    @staticmethod
+    def number(version: str) -> tuple[int, int]:
+        epoch, _, number = version.partition(".")
+        try:
+            return int(epoch), int(number)
+        except ValueError as fault:
+            raise FormError(f"version_info is {version[:40]!r}") from fault
+
+    def name_of_director(self) -> str:
+        return self.director.name if self.director else ""
+
+    # What it says.
+
+    def node(self) -> forms.Node:
+        usual = self.o.usual_calls_per_s * self.plan.share
+        return forms.Node(
+            self.plan.id, "calls", forms.Locality(zone=self.plan.zone), {"usual_calls_per_s": usual}
+        )
+
+    def request(self, kind: str, version: str, nonce: str, fault: str) -> bytes:
+        detail = forms.Status(3, fault) if fault else None
+        return encode(forms.DiscoveryRequest(version, self.node(), [], forms.FILES[kind], nonce, detail))
+
+    def answer_config(self, kinds: dict[str, tuple[str, str]], fault: str) -> None:
+        if self.director is None:
+            return
+        for kind, (version, nonce) in kinds.items():
+            old = self.versions.get(kind, ("", ""))
+            if old[1] == nonce:
+                continue
+            if not fault:
+                self.versions[kind] = (version, nonce)
+            said = self.request(kind, version if not fault else old[0], nonce, fault)
+            self.put(kind + ".json", said)
+
+    def put(self, file: str, data: bytes) -> None:
+        if self.director is not None:
+            try:
+                swap_file(DiskOps(), f"{self.director.folder}/{UP}/{self.plan.id}", file, data)
+            except OSError:
+                return  # its folder is gone: noticed by `keep`
+
+    def status(self) -> bytes:
+        held: list[tuple[str, str, object]] = [(forms.ASSIGNMENT, n, t) for n, t in self.assignments.items()]
+        held += [(forms.CLUSTER, name, cluster) for name, cluster in self.clusters.items()]
+        routes = forms.RouteConfiguration("calls", [forms.VirtualHost("all", ["*"], self.routes)])
+        held.append((forms.ROUTES, "calls", routes))
+        rows = [
+            forms.GenericXdsConfig(url, name, "", msgspec.Raw(encode(what)), "ACKED")
+            for url, name, what in held
+        ]
+        return encode(forms.ClientConfig(self.node(), rows))
+
+    def report(self) -> None:
+        """The sums of the period that ends now, as the load reporting service has them."""
+        now = ticks()
+        span = f"{(now - self.asked_at) / SECOND:.4f}s"
+        self.asked_at = now
+        clusters: dict[str, forms.ClusterStats] = {}
+        zones: dict[tuple[str, str], forms.UpstreamLocalityStats] = {}
+        for name in dict.fromkeys([*(key[0] for key in self.sums), *self.dropped]):
+            gone = self.dropped.get(name, 0)
+            stats = clusters[name] = forms.ClusterStats(name, total_dropped_requests=gone)
+            stats.load_report_interval = span
+            if gone:
+                stats.dropped_requests.append(forms.DroppedRequests("throttled", gone))
+        for (name, host), sums in self.sums.items():
+            side = self.sides[host]
+            zone = zones.get((name, side.zone))
+            if zone is None:
+                zone = zones[name, side.zone] = forms.UpstreamLocalityStats(forms.Locality(zone=side.zone))
+                clusters[name].upstream_locality_stats.append(zone)
+            at = forms.Address(forms.SocketAddress(side.address, side.port))
+            row = forms.UpstreamEndpointStats(at, sums.good, side.out, sums.bad, sums.good + sums.bad)
+            if sums.good:
+                row.load_metric_stats.append(forms.LoadMetricStats("latency_seconds", sums.good, sums.spent))
+            for metric, (total, count) in sums.told.items():
+                row.load_metric_stats.append(forms.LoadMetricStats(metric, int(count), total))
+            zone.upstream_endpoint_stats.append(row)
+            zone.total_successful_requests += sums.good
+            zone.total_error_requests += sums.bad
+        self.sums.clear()
+        self.dropped.clear()
+        self.put(LOAD, encode(forms.LoadStatsRequest(self.node(), list(clusters.values()))))
+
+    # Its director.
+
+    def reachable(self, place: DirectorPlace) -> bool:
+        if self.crew.unreachable(self.plan.zone, place.zone) or ticks() < self.away_until:
+            return False
+        return time.time() - last_beat(place.folder) < self.o.lost_after_s
+
+    def join(self, place: DirectorPlace) -> None:
+        up = f"{place.folder}/{UP}"
+        temp, home = f"{up}/.{self.plan.id}", f"{up}/{self.plan.id}"
+        self.floor = (0, 0)
+        try:
+            for kind in read_group(f"{place.folder}/{DOWN}/{self.plan.id}")[1].items():
+                envelope = read_response(kind[1], forms.FILES[kind[0][:-5]])
+                self.floor = max(self.floor, self.number(envelope.version_info))
+        except (OSError, FormError, KeyError):
+            pass
+        shutil.rmtree(temp, ignore_errors=True)
+        shutil.rmtree(home, ignore_errors=True)
+        os.mkdir(temp)
+        files = {STATUS: self.status()}
+        if not all(name == "standing" for name in self.assignments):
+            said = f"{self.version[0]}.{self.version[1]}"
+            files |= {f"{kind}.json": self.request(kind, said, "", "") for kind in forms.FILES}
+        for name, data in files.items():
+            swap_file(DiskOps(), temp, name, data)
+        self.version, self.versions = (0, 0), {}
+        os.rename(temp, home)
+        self.director = place
+        self.notes.note("joined", p=self.plan.id, d=place.name)
+        self.report()
+        self.crew.followers.follow(self.plan.id, f"{place.folder}/{DOWN}", self.plan.id)
+
+    def leave(self, why: str) -> None:
+        if self.director is None:
+            return
+        place, self.director = self.director, None
+        self.crew.followers.drop(self.plan.id)
+        self.notes.note("left", p=self.plan.id, d=place.name, why=why)
+        if not self.crew.unreachable(self.plan.zone, place.zone):  # else nothing of it gets there
+            shutil.rmtree(f"{place.folder}/{UP}/{self.plan.id}", ignore_errors=True)
+
+    async def keep(self) -> None:
+        """Joined to one director as long as it shows life, then to another; the own zone's first."""
+        places = self.o.directors
+        order = sorted(places, key=lambda place: (place.zone != self.plan.zone, self.chance.random()))
+        while True:
+            if self.director is None:
+                for place in order:
+                    if self.reachable(place):
+                        try:
+                            self.join(place)
+                        except OSError:
+                            self.leave("its folder cannot be used")
+                            continue
+                        break
+                else:
+                    await trio.sleep(0.1)
+                    continue
+            elif not self.reachable(self.director):
+                self.leave("no sign of life")
+                await trio.sleep(self.o.redial_s * (0.5 + self.chance.random()))
+            await trio.sleep(0.05)
+
+    async def tell(self) -> None:
+        await trio.sleep(self.chance.random() * self.o.report_s)
+        while True:
+            self.report()
+            await trio.sleep(self.o.report_s)
+
+    # Calls.
+
+    async def answer(self, call: Call) -> Reply | None:
+        path = call.target.split(b"?")[0].decode("latin-1")
+        for row in self.routes:
+            prefix = row.match.path_separated_prefix.rstrip("/")
+            if path == prefix or path.startswith(prefix + "/"):
+                return await self.route(row, call)
+        return Reply(404)
+
+    def admitted(self, row: forms.Route) -> bool:
+        share, rate = tables.level_of(row.typed_per_filter_config)
+        if share < 1 and self.chance.random() >= share:
+            return False
+        if math.isinf(rate):
+            return True
+        limit = row.typed_per_filter_config[forms.RATE_LIMIT_FILTER]
+        key, bucket = self.buckets.get(row.name, (None, None))
+        if key != limit or bucket is None:
+            assert isinstance(limit, forms.LocalRateLimit)
+            most = float(limit.token_bucket.max_tokens)
+            level = min(most, bucket.level) if bucket else most / 2
+            bucket = Bucket(rate, most, level, ticks())
+            self.buckets[row.name] = (limit, bucket)
+        return bucket.take(ticks())
+
+    async def route(self, row: forms.Route, call: Call) -> Reply:
+        attempt = call.headers.get(b"x-attempt", b"").decode()
+        cluster = row.route.cluster
+        if not self.admitted(row):
+            self.dropped[cluster] = self.dropped.get(cluster, 0) + 1
+            self.notes.note("throttled", p=self.plan.id, c=attempt, r=row.name)
+            return Reply(429, [(b"retry-after", b"1")], b"throttled")
+        policy = row.route.retry_policy
+        tries = tables.tries_of(policy)
+        patience = seconds(policy.per_try_timeout) if policy and policy.per_try_timeout else math.inf
+        tried: list[str] = []
+        reply = Reply(503, [(b"retry-after", b"1"), (tables.PROOF.encode(), b"1")], b"no host")
+        with trio.move_on_after(seconds(row.route.timeout)) as limit:
+            while True:
+                host = self.pick(row, tried)
+                if host is None:
+                    if not tried:
+                        self.notes.note("no_host", p=self.plan.id, c=attempt, r=row.name)
+                    return reply
+                again = len(tried) < (1 if tries == 1 else max(tries - 1, 0))
+                tried.append(host)
+                reply, proof = await self.try_at(row, cluster, host, call, patience if again else math.inf)
+                if reply.status < 500 or not again or (tries == 1 and not proof):
+                    return reply
+        if limit.cancelled_caught:
+            return Reply(504, [(b"retry-after", b"1")], b"time limit")
+        return reply
+
+    def pick(self, row: forms.Route, tried: list[str]) -> str | None:
+        now = ticks()
+        lines = self.lines[row.name]
+        fit = [line for line in lines if line[0] not in tried] or ([] if tried else lines)
+        fit = [line for line in fit if self.sides[line[0]].shunned_until <= now] or fit
+        if not fit:
+            return None
+        hosts, weights = [line[0] for line in fit], [line[1] for line in fit]
+        if self.clusters[row.route.cluster].lb_policy != "LEAST_REQUEST":
+            return self.chance.choices(hosts, weights)[0]
+        one, two = self.chance.choices(hosts, weights, k=2)
+        return one if self.sides[one].out <= self.sides[two].out else two
+
+    async def try_at(
+        self, row: forms.Route, cluster: str, host: str, call: Call, patience: float
+    ) -> tuple[Reply, bool]:
+        """One try: its answer, and whether it is proven that it never ran."""
+        side, began, told = self.sides[host], ticks(), b""
+        reply, proof, out = Reply(504, [], b"time-out"), False, "timeout"
+        attempt = call.headers.get(b"x-attempt", b"").decode()
+        ours = [(b"x-proxy", self.plan.id.encode()), (b"x-route", row.name.encode())]
+        head = [(k, call.headers[k]) for k in (b"x-attempt", b"x-work-ms", b"x-key") if k in call.headers]
+        side.out += 1
+        caller: Caller | None = None
+        sent = 0
+        try:
+            with trio.move_on_after(patience):
+                if self.crew.lost(self.plan, host, side.zone):
+                    out = "unreached"
+                    await trio.sleep(self.o.dial_s)
+                    raise Broken("no way there", False)
+                while side.idle and caller is None:
+                    caller = side.idle.pop()
+                    if not caller.usable or not caller.fresh():
+                        self.crew.later(caller.close)
+                        caller = None
+                if caller is None:
+                    caller = await dial(side.address, side.port, self.o.dial_s)
+                sent = ticks()
+                self.notes.note(
+                    "sent", p=self.plan.id, c=attempt, r=row.name, h=host, d=self.name_of_director()
+                )
+                reply = await caller.call(call.method, call.target, [*ours, *head], call.body)
+                told = reply.header(orca.HEADER) or b""
+                proof = reply.header(tables.PROOF.encode()) is not None
+                out = "answered" if reply.status < 500 else "given_back" if proof else "failed"
+        except Broken as fault:
+            proof = not fault.sent
+            out = "unreached" if proof else "broke"
+            reply = Reply(503, [(tables.PROOF.encode(), b"1")] if proof else [], b"connection failure")
+        finally:
+            side.out -= 1
+            if caller is not None:
+                if caller.usable and any(host == line[0] for line in self.lines.get(row.name, ())):
+                    side.idle.append(caller)
+                else:
+                    self.crew.later(caller.close)
+            sums = self.sums.setdefault((cluster, host), Sums())
+            good = out == "answered"
+            if good:
+                sums.good += 1
+                sums.spent += (ticks() - began) / SECOND
+                side.strikes = 0
+            else:
+                sums.bad += 1
+                side.strikes += 1
+                if self.o.strikes and side.strikes >= self.o.strikes:
+                    side.strikes, side.shunned_until = 0, ticks() + round(self.o.shun_s * SECOND)
+            for name, value in orca.read(told).items() if told else ():
+                pair = sums.told.setdefault(name, [0.0, 0])
+                pair[0] += value
+                pair[1] += 1
+            parts = {"p": self.plan.id, "c": attempt, "r": row.name, "h": host}
+            self.notes.note("try", **parts, began=began, sent=sent, out=out, proof=proof)
+        return reply, proof
+
+
+class Crew:
+    """All proxies of one process, and the troubles they share."""
+
+    def __init__(self, orders: ProxyOrders) -> None:
+        self.o, self.notes = orders, Notes(orders.notes)
+        self.chance = random.Random(orders.seed)
+        self.cut: list[str] = []
+        self.lossy: dict[tuple[str, str], float] = {}  # proxy and host: share of tries that get nowhere
+        self.applied = self.refused = 0
+        self.followers = Followers(orders.watch, orders.poll_s, self.seen)
+        self.proxies = {plan.id: StandInProxy(orders, plan, self) for plan in orders.proxies}
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    def seen(self, proxy: str, files: dict[str, bytes]) -> None:
+        self.proxies[proxy].take(files)
+
+    def unreachable(self, one: str, other: str) -> bool:
+        return one != other and (one in self.cut or other in self.cut)
+
+    def lost(self, plan: ProxyPlan, host: str, zone: str) -> bool:
+        if self.unreachable(plan.zone, zone):
+            return True
+        share = self.lossy.get((plan.id, host), 0.0)
+        return share > 0 and self.chance.random() < share
+
+    def later(self, what: Callable[[], Awaitable[object]]) -> None:
+        self.nursery.start_soon(what)
+
+    # Troubles.
+
+    def set_cut(self, zones: list[str]) -> None:
+        self.cut = zones
+
+    def set_lossy(self, proxies: list[str], hosts: list[str], share: float) -> None:
+        self.lossy = {(proxy, host): share for proxy in proxies for host in hosts}
+
+    def drop_streams(self, proxies: list[str], away_s: float) -> None:
+        for name in proxies:
+            if name in self.proxies:
+                self.proxies[name].leave("stream lost")
+                self.proxies[name].away_until = ticks() + round(away_s * SECOND)
+
+    def kill(self, proxies: list[str]) -> None:
+        for name in proxies:
+            if name in self.proxies and name in self.scopes:
+                self.scopes.pop(name).cancel()
+                proxy = self.proxies[name]
+                self.notes.note("died", p=name)
+                self.followers.drop(name)
+                proxy.director = None  # its folder stays, as a process that dies leaves it
+
+    def start(self, proxies: list[str], hosts: list[tuple[str, str, int, str]]) -> None:
+        for name in proxies:
+            if name in self.proxies and name not in self.scopes:
+                orders = msgspec.structs.replace(self.o, hosts=hosts)
+                self.proxies[name] = StandInProxy(orders, self.proxies[name].plan, self)
+                self.later(partial(self.live, self.proxies[name]))
+
+    async def live(self, proxy: StandInProxy) -> None:
+        with trio.CancelScope() as scope:
+            self.scopes[proxy.plan.id] = scope
+            usable = {route: len(rows) for route, rows in proxy.lines.items()}
+            held = sorted({host for rows in proxy.lines.values() for host, _ in rows})
+            self.notes.note("up", p=proxy.plan.id, usable=usable, hosts=held)
+            async with trio.open_nursery() as nursery:
+                if not self.o.fixed:
+                    nursery.start_soon(proxy.keep)
+                    nursery.start_soon(proxy.tell)
+                serve = partial(answer_calls, answer=proxy.answer)
+                await trio.serve_tcp(serve, proxy.plan.port, handler_nursery=nursery)
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            nursery.start_soon(self.notes.run)
+            if not self.o.fixed:
+                nursery.start_soon(self.followers.run)
+            for proxy in self.proxies.values():
+                nursery.start_soon(self.live, proxy)
+            print("ready", flush=True)
+            orders: dict[str, Callable[..., Any]] = {"cut": self.set_cut, "lossy": self.set_lossy}
+            orders |= {"drop_streams": self.drop_streams, "kill": self.kill, "start": self.start}
+            await obey(orders)
+            for proxy in self.proxies.values():
+                proxy.leave("the end")
+            nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    with open(sys.argv[1].removeprefix("@"), "rb") as file:
+        trio.run(Crew(msgspec.json.decode(file.read(), type=ProxyOrders)).run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/willowhook/trial/standin_roster.py
@@ -0,0 +1,109 @@
+"""A stand-in roster: a service catalogue's health endpoint with blocking queries; late, failing, frozen."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import trio
+
+from ..web.wire import Call, Reply, answer_calls
+from .day import HostPlan
+from .notes import Notes
+
+
+class StandInRoster:
+    def __init__(self, notes: Notes, late_s: float) -> None:
+        self.notes, self.late = notes, late_s
+        self.index = 1
+        self.entries: dict[str, dict[str, Any]] = {}  # as they are shown
+        self.changed = trio.Event()
+        self.away = self.frozen = False
+        self.body_instead: bytes | None = None  # a roster that lies
+        self.port = 0
+        self._nursery: trio.Nursery | None = None
+
+    def entry(self, plan: HostPlan, draining: bool, started: float) -> dict[str, Any]:
+        checks = [{"CheckID": f"_service_maintenance:{plan.id}", "Status": "critical"}] if draining else []
+        meta = {"kind": plan.kind, "started": f"{started:.3f}" if started else "0"}
+        return {
+            "Node": {"Node": plan.id, "Datacenter": plan.zone, "Meta": {"zone": plan.zone}},
+            "Service": {"ID": plan.id, "Address": "127.0.0.1", "Port": plan.port, "Meta": meta},
+            "Checks": checks,
+        }
+
+    def show(self, plan: HostPlan, draining: bool = False, started: float = 0.0) -> None:
+        """The host is listed, a while from now."""
+        self._later(plan.id, self.entry(plan, draining, started))
+
+    def hide(self, host: str) -> None:
+        self._later(host, None)
+
+    def _later(self, host: str, entry: dict[str, Any] | None) -> None:
+        if self._nursery is None:
+            self._set(host, entry)
+        else:
+            self._nursery.start_soon(self._after, host, entry)
+
+    async def _after(self, host: str, entry: dict[str, Any] | None) -> None:
+        await trio.sleep(self.late)
+        self._set(host, entry)
+
+    def _set(self, host: str, entry: dict[str, Any] | None) -> None:
+        if entry is None:
+            self.entries.pop(host, None)
+        else:
+            self.entries[host] = entry
+        self.index += 1
+        if not self.frozen:
+            self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def thaw(self) -> None:
+        self.frozen = False
+        self._wake()
+
+    async def answer(self, call: Call) -> Reply | None:
+        if self.away:
+            return Reply(500, body=b"no leader")
+        parts = urlsplit(call.target.decode("latin-1"))
+        query = parse_qs(parts.query)
+        index = int(query.get("index", ["0"])[0])
+        wait = float(query.get("wait", ["0s"])[0].rstrip("s"))
+        who = call.headers.get(b"user-agent", b"").decode().removeprefix("willowhook/")
+        with trio.move_on_after(wait):
+            while index and (self.index <= index or self.frozen) and not self.away:
+                await self.changed.wait()
+        if self.away:
+            return Reply(500, body=b"no leader")
+        if self.body_instead is not None:
+            return Reply(200, [(b"x-consul-index", b"%d" % (self.index + 1))], self.body_instead)
+        shown = self.index if not self.frozen else index or self.index
+        rows = [
+            [
+                e["Service"]["ID"],
+                "draining" if e["Checks"] else "open",
+                float(e["Service"]["Meta"]["started"]),
+            ]
+            for e in self.entries.values()
+        ]
+        if shown != index:
+            self.notes.note("listed", d=who, index=shown, hosts=rows, wall=time.time())
+        return Reply(200, [(b"x-consul-index", b"%d" % shown)], msgspec.json.encode([*self.entries.values()]))
+
+    async def run(self, task_status: trio.TaskStatus[int]) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+
+            async def serve(stream: trio.SocketStream) -> None:
+                await answer_calls(stream, self.answer)
+
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            self.port = listeners[0].socket.getsockname()[1]
+            task_status.started(self.port)
+            await trio.serve_listeners(serve, listeners)
--- /dev/null
+++ b/willowhook/xds/tables.py
@@ -0,0 +1,170 @@
+"""What is ordered, in published forms: tables, binds, tries, levels and picks, and back again for a reader.
+
+Where a form cannot carry an order to the letter the docs (`docs/files.md`) say what differs.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from typing import TypeVar
+
+from . import forms
+from .codec import FormError, decode, duration, nanos, read_response, seconds
+
+SCALE = 10_000  # a weight of 1, as the whole number that the form asks for
+MOST = 2**32 - 1
+FILL = 0.05  # the shortest time between fills that the published filter allows, seconds
+MILLION = 1_000_000
+UNLIMITED = 100_000.0  # calls a second at one proxy from which no limit is written
+PROOF = "x-never-ran"  # a host that gives a call back unbegun says so with this header
+NEVER_RAN = "connect-failure,refused-stream,retriable-headers"
+ANY_FAILURE = "5xx,reset,connect-failure,refused-stream"
+THROTTLED, DROPPED = 429, 503
+
+Line = tuple[str, str, int, str, float, bool]  # host, address, port, zone, weight, draining
+
+
+def whole(weight: float) -> int:
+    """A weight as the form's whole number, never 0 for a weight above 0."""
+    return min(max(round(weight * SCALE), 1), MOST // 4096)
+
+
+def assignment(name: str, lines: Iterable[Line]) -> forms.ClusterLoadAssignment:
+    """A table; hosts are grouped by zone in the order in which zones first appear."""
+    zones: dict[str, forms.LocalityLbEndpoints] = {}
+    for host, address, port, zone, weight, draining in lines:
+        group = zones.get(zone)
+        if group is None:
+            group = zones[zone] = forms.LocalityLbEndpoints(forms.Locality(zone=zone))
+        at = forms.Address(forms.SocketAddress(address, port))
+        health = forms.DRAINING if draining else forms.HEALTHY
+        group.lb_endpoints.append(forms.LbEndpoint(forms.Endpoint(at, host), health, whole(weight)))
+    return forms.ClusterLoadAssignment(name, list(zones.values()))
+
+
+def lines(table: forms.ClusterLoadAssignment) -> list[Line]:
+    """A table's lines; raises FormError at one that no proxy could use."""
+    found = []
+    for group in table.endpoints:
+        for row in group.lb_endpoints:
+            at = row.endpoint.address.socket_address
+            if not at.address or not 0 < at.port_value < 65536:
+                raise FormError(f"{table.cluster_name}: {row.endpoint.hostname!r} has no address")
+            if not 0 < row.load_balancing_weight <= MOST:
+                raise FormError(f"{table.cluster_name}: {row.endpoint.hostname!r} has no weight")
+            name = row.endpoint.hostname or f"{at.address}:{at.port_value}"
+            weight, out = row.load_balancing_weight / SCALE, row.health_status == forms.DRAINING
+            found.append((name, at.address, at.port_value, group.locality.zone, weight, out))
+    return found
+
+
+def cluster(name: str, table: str, path: str, pick: str, dial_ticks: int, strikes: int) -> forms.Cluster:
+    """One route's cluster: several may name one table, which is what makes it shared."""
+    made = forms.Cluster(name, "EDS", connect_timeout=duration(dial_ticks))
+    made.eds_cluster_config = forms.EdsClusterConfig(forms.PathConfigSource(forms.PathSource(path)), table)
+    if pick == "pair":
+        made.lb_policy, made.least_request_lb_config = "LEAST_REQUEST", forms.LeastRequest(2)
+    elif pick == "lottery":
+        made.lb_policy = "RANDOM"
+    if strikes:
+        made.outlier_detection = forms.OutlierDetection(strikes)
+    return made
+
+
+def retry(tries: int, per_try_ticks: int) -> forms.RetryPolicy:
+    """0: none; 1: one, elsewhere, after proof that none ran; 2, 3: one or two after any failure."""
+    if tries <= 0:
+        return forms.RetryPolicy(num_retries=0)
+    elsewhere = forms.RetryHostPredicate(forms.HOSTS_TRIED, forms.TypedConfig(forms.HOSTS_TRIED_TYPE))
+    policy = forms.RetryPolicy(NEVER_RAN, 1, retry_host_predicate=[elsewhere])
+    policy.host_selection_retry_max_attempts = 5
+    if tries == 1:
+        policy.retriable_headers = [forms.HeaderMatcher(PROOF, True)]
+    else:
+        policy.retry_on, policy.num_retries = ANY_FAILURE, tries - 1
+        policy.per_try_timeout = duration(per_try_ticks)
+    return policy
+
+
+def tries_of(policy: forms.RetryPolicy | None) -> int:
+    """The number that `retry` was given; without a policy a proxy's own default, which is 1."""
+    if policy is None:
+        return 1
+    if not policy.num_retries or not policy.retry_on:
+        return 0
+    return 1 if "5xx" not in policy.retry_on else 1 + policy.num_retries
+
+
+def level(admit: str, value: float, come_back_s: int) -> dict[str, forms.HTTPFault | forms.LocalRateLimit]:
+    """A level: as a rate the local rate limit, as a share the abort percentage; nothing if all is let in."""
+    if admit == "none" or (admit == "ratio" and value >= 1) or (admit == "rps" and value >= UNLIMITED):
+        return {}
+    if admit == "ratio" or value <= 0:
+        cut = round((1 - min(max(value, 0.0), 1.0)) * MILLION)
+        abort = forms.FaultAbort(THROTTLED, forms.Percentage(cut, "MILLION"))
+        return {forms.FAULT_FILTER: forms.HTTPFault(abort)}
+    tokens = max(1, math.ceil(value * FILL))
+    bucket = forms.TokenBucket(max(tokens, math.ceil(value)), tokens, nanos(round(tokens / value * 1e9)))
+    whole_share = forms.RuntimeFraction(forms.Percentage(100))
+    limit = forms.LocalRateLimit(
+        "level", forms.HttpStatus(THROTTLED), bucket, whole_share, whole_share,
+        [forms.HeaderValueOption(forms.HeaderValue("retry-after", str(come_back_s)))],
+    )  # fmt: skip
+    return {forms.RATE_LIMIT_FILTER: limit}
+
+
+def level_of(filters: Mapping[str, forms.HTTPFault | forms.LocalRateLimit]) -> tuple[float, float]:
+    """The share let in and the rate let in (infinite without a limit) of one route."""
+    share, rate = 1.0, math.inf
+    for row in filters.values():
+        if isinstance(row, forms.HTTPFault):
+            cut = row.abort.percentage if row.abort else forms.Percentage()
+            per = {"HUNDRED": 100, "TEN_THOUSAND": 10_000, "MILLION": MILLION}.get(cut.denominator)
+            if per is None or cut.numerator < 0:
+                raise FormError(f"abort percentage of {cut.numerator} per {cut.denominator!r}")
+            share = max(0.0, 1 - cut.numerator / per)
+        else:
+            rate = row.token_bucket.tokens_per_fill / max(seconds(row.token_bucket.fill_interval), 1e-9)
+    return share, rate
+
+
+def route(
+    name: str, path: str, to: str, limit_ticks: int, policy: forms.RetryPolicy,
+    filters: dict[str, forms.HTTPFault | forms.LocalRateLimit],
+) -> forms.Route:  # fmt: skip
+    action = forms.RouteAction(to, duration(limit_ticks), policy)
+    return forms.Route(name, forms.RouteMatch(path), action, filters)
+
+
+def route_set(name: str, rows: list[forms.Route]) -> forms.RouteConfiguration:
+    """All routes of a proxy; the longest path first, as the first match wins."""
+    ordered = sorted(rows, key=lambda row: -len(row.match.path_separated_prefix))
+    return forms.RouteConfiguration(name, [forms.VirtualHost("all", ["*"], ordered)])
+
+
+T = TypeVar("T")
+
+
+def read(data: bytes, type_url: str, kind: type[T]) -> tuple[forms.DiscoveryResponse, list[T]]:
+    """One file: its envelope and its resources; raises FormError naming the resource."""
+    got = read_response(data, type_url)
+    found = []
+    for at, raw in enumerate(got.resources):
+        try:
+            found.append(decode(bytes(raw), kind))
+        except FormError as fault:
+            raise FormError(f"resources[{at}]: {fault}") from fault
+    return got, found
+
+
+def read_tables(data: bytes) -> tuple[forms.DiscoveryResponse, list[forms.ClusterLoadAssignment]]:
+    return read(data, forms.ASSIGNMENT, forms.ClusterLoadAssignment)
+
+
+def read_clusters(data: bytes) -> tuple[forms.DiscoveryResponse, list[forms.Cluster]]:
+    return read(data, forms.CLUSTER, forms.Cluster)
+
+
+def read_routes(data: bytes) -> tuple[forms.DiscoveryResponse, list[forms.RouteConfiguration]]:
+    return read(data, forms.ROUTES, forms.RouteConfiguration)
