--- /dev/null
+++ b/willowhook/cli/trial.py
@@ -0,0 +1,88 @@
+"""`willowhook trial`: whole fleets on loopback, with a verdict."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from .commands import main
+
+
+@main.group()
+def trial() -> None:
+    """Whole fleets on loopback: stand-ins, troubles, and a verdict on the five rules."""
+
+
+@trial.command()
+@click.option("--seed", type=int, default=1, show_default=True, help="What the day is drawn from.")
+@click.option("--seeds", type=int, default=1, show_default=True, help="How many seeds, from --seed on.")
+@click.option("--length", type=click.FloatRange(20, 3600), default=40.0, show_default=True, help="Seconds.")
+@click.option("--short", is_flag=True, help="A small day of 12 s.")
+@click.option("--baselines/--no-baselines", default=True, show_default=True)
+@click.option(
+    "--at-once", type=click.IntRange(1, 16), default=1, show_default=True, help="Days side by side."
+)
+@click.option("--durability", type=click.Choice(["none", "file", "file_and_folder"]), default="none")
+@click.option(
+    "--folder", type=click.Path(), default="", help="Where records go; a temporary one if not given."
+)
+def badday(
+    seed: int,
+    seeds: int,
+    length: float,
+    short: bool,
+    baselines: bool,
+    at_once: int,
+    durability: str,
+    folder: str,
+) -> None:
+    """A scripted bad day: directors die, hosts fail, and the rules must hold."""
+    from functools import partial
+
+    from ..trial import badday as days
+
+    make = days.short_day if short else partial(days.usual_day, length_s=length)
+    names = days.BASELINES if baselines else ()
+    rounds = days.many(
+        range(seed, seed + seeds), make, folder, names, at_once, click.echo, durability=durability
+    )
+    if seeds > 1:
+        for line in days.summary(rounds):
+            click.echo(line)
+    sys.exit(0 if all(row.director.kept for row in rounds) else 1)
+
+
+@trial.command()
+@click.argument("kinds", nargs=-1, required=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--length", type=click.FloatRange(15, 3600), default=40.0, show_default=True)
+@click.option("--hosts", type=click.IntRange(2, 400), default=12, show_default=True)
+@click.option("--proxies", type=click.IntRange(1, 2000), default=8, show_default=True)
+@click.option("--directors", type=click.IntRange(1, 20), default=2, show_default=True)
+@click.option(
+    "--calls", type=click.FloatRange(1, 5000), default=110.0, show_default=True, help="Calls a second."
+)
+@click.option("--folder", type=click.Path(), default="")
+def replay(
+    kinds: tuple[str, ...], seed: int, length: float, hosts: int, proxies: int, directors: int, calls: float,
+    folder: str,
+) -> None:  # fmt: skip
+    """Let these KINDS of trouble strike the real director, one after the other."""
+    import tempfile
+
+    from ..trial import badday as days
+    from ..trial.stage import TROUBLES
+
+    unknown = [kind for kind in kinds if kind not in TROUBLES and kind != "none"]
+    if unknown:
+        raise click.BadParameter(f"{', '.join(unknown)}: known are none, {', '.join(TROUBLES)}")
+    names = [kind for kind in kinds if kind != "none"]
+    size = {"hosts": hosts, "proxies": proxies, "directors": directors, "calls_per_s": calls}
+    day = days.replay_day(names, seed, length, **size)
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = days.one(day, root, (), click.echo)
+    for line in days.report(done):
+        click.echo(line)
+    sys.exit(0 if done.director.kept else 1)
--- a/willowhook/files/swap.py
+++ b/willowhook/files/swap.py
@@ -64,11 +64,15 @@
         changed = [name for name, data in files.items() if self.held.get(name) != data]
         if not changed and files.keys() == self.held.keys():
             return False
-        if self.held and len(changed) == 1 and files.keys() == self.held.keys():
-            name = changed[0]
-            swap_file(self.ops, f"{self.folder}/{self.place}", name, files[name], self.durability)
-        else:
-            self._swap_group(files, changed)
+        try:
+            if self.held and len(changed) == 1 and files.keys() == self.held.keys():
+                name = changed[0]
+                swap_file(self.ops, f"{self.folder}/{self.place}", name, files[name], self.durability)
+            else:
+                self._swap_group(files, changed)
+        except OSError:  # it may have taken effect all the same: the next group is written whole
+            self.held = {}
+            raise
         self.held = dict(files)
         self.swaps += 1
         return True
@@ -97,7 +101,11 @@
             with contextlib.suppress(OSError):
                 remove(ops, temp)
             with contextlib.suppress(OSError):
-                remove(ops, home)
+                if ops.readlink(f"{self.folder}/{CURRENT}") == place:
+                    self.place = place
+            if self.place != place:
+                with contextlib.suppress(OSError):
+                    remove(ops, home)
             raise
         self.place = place
         if self.durability == "file_and_folder":
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -30,7 +30,8 @@
 from .standin_proxy import DirectorPlace, ProxyOrders
 from .standin_roster import StandInRoster
 
-SPREAD_MS = 50  # fleets of up to so many proxies are one process
+CREW = 50  # so many proxies at most are one process
+FELL = 9  # exit code of a host that was pushed over
 
 
 @dataclass
@@ -172,7 +173,7 @@
             DirectorPlace(f"director-{rank}", self.director_folder(rank), ZONES[rank % 2])
             for rank in range(day.directors)
         ]
-        parts = math.ceil(len(day.proxies) / SPREAD_MS)
+        parts = math.ceil(len(day.proxies) / CREW)
         for part in range(parts):
             plans = day.proxies[part::parts]
             orders = ProxyOrders(
@@ -204,6 +205,7 @@
                 self.nursery = nursery
                 try:
                     await self.play(nursery)
+                    self.all_alive()
                 finally:
                     self.end()
                     scope.cancel()
@@ -282,6 +284,17 @@
             file.close()
         self.notes.flush()
 
+    def all_alive(self) -> None:
+        """A stand-in that broke makes the day worth nothing.  Raises RuntimeError."""
+        dead = [f"proxies {names[0]}..." for names, process in self.crews if process.poll() is not None]
+        codes = [(host.plan.id, host.process.poll()) for host in self.hosts.values() if host.process]
+        dead += [f"{name} with {code}" for name, code in codes if code not in (None, FELL)]
+        if dead:
+            raise RuntimeError(f"a stand-in broke, see its log: {', '.join(dead)}")
+        for rank, process in self.directors.items():
+            if process.poll() is not None:
+                raise RuntimeError(f"director-{rank} ended with {process.returncode}, see its log")
+
     def limits(self) -> Limits:
         day = self.day
         routes: dict[str, str] = {route.name: route.semantics for route in day.routes}
--- a/willowhook/trial/standin_proxy.py
+++ b/willowhook/trial/standin_proxy.py
@@ -389,14 +389,15 @@
             self.dropped[cluster] = self.dropped.get(cluster, 0) + 1
             self.notes.note("throttled", p=self.plan.id, c=attempt, r=row.name)
             return Reply(429, [(b"retry-after", b"1")], b"throttled")
-        policy = row.route.retry_policy
+        # what a call is told at its start holds for all of its tries, but not the hosts it may go to
+        policy, lb_policy = row.route.retry_policy, self.clusters[cluster].lb_policy
         tries = tables.tries_of(policy)
         patience = seconds(policy.per_try_timeout) if policy and policy.per_try_timeout else math.inf
         tried: list[str] = []
         reply = Reply(503, [(b"retry-after", b"1"), (tables.PROOF.encode(), b"1")], b"no host")
         with trio.move_on_after(seconds(row.route.timeout)) as limit:
             while True:
-                host = self.pick(row, tried)
+                host = self.pick(row, lb_policy, tried)
                 if host is None:
                     if not tried:
                         self.notes.note("no_host", p=self.plan.id, c=attempt, r=row.name)
@@ -410,15 +411,15 @@
             return Reply(504, [(b"retry-after", b"1")], b"time limit")
         return reply
 
-    def pick(self, row: forms.Route, tried: list[str]) -> str | None:
+    def pick(self, row: forms.Route, lb_policy: str, tried: list[str]) -> str | None:
         now = ticks()
-        lines = self.lines[row.name]
+        lines = self.lines.get(row.name, [])
         fit = [line for line in lines if line[0] not in tried] or ([] if tried else lines)
         fit = [line for line in fit if self.sides[line[0]].shunned_until <= now] or fit
         if not fit:
             return None
         hosts, weights = [line[0] for line in fit], [line[1] for line in fit]
-        if self.clusters[row.route.cluster].lb_policy != "LEAST_REQUEST":
+        if lb_policy != "LEAST_REQUEST":
             return self.chance.choices(hosts, weights)[0]
         one, two = self.chance.choices(hosts, weights, k=2)
         return one if self.sides[one].out <= self.sides[two].out else two
