--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,315 @@
+"""One real director in this process, with proxies played by hand: who is bad costs nobody else anything."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from willowhook.config.example import EXAMPLE
+from willowhook.director.run import Service
+from willowhook.files.layout import FolderTaken
+from willowhook.files.ops import DiskOps
+from willowhook.files.swap import read_group, swap_file
+from willowhook.records.writer import Records, read_records
+from willowhook.web.wire import Call, Reply, answer_calls
+from willowhook.xds import forms, tables
+from willowhook.xds.codec import encode, read_response
+
+
+class Log:
+    def __init__(self) -> None:
+        self.rows: list[tuple[str, str, dict[str, Any]]] = []
+
+    def bind(self, **_: Any) -> Log:
+        return self
+
+    def info(self, text: str, **parts: Any) -> None:
+        self.rows.append(("info", text, parts))
+
+    def warning(self, text: str, **parts: Any) -> None:
+        self.rows.append(("warning", text, parts))
+
+    def texts(self, level: str = "") -> list[str]:
+        return [text for each, text, _ in self.rows if level in ("", each)]
+
+
+class ByHand:
+    """A proxy's side of the folder, written as a test wants it."""
+
+    def __init__(self, service: Service, name: str) -> None:
+        self.name, self.root = name, Path(service.folder.path)
+        self.up, self.down = self.root / "up" / name, self.root / "down" / name
+        self.node = forms.Node(name, "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 4})
+
+    def join(self, status: bytes | None = None) -> None:
+        temp = self.root / "up" / f".{self.name}"
+        temp.mkdir()
+        (temp / "status.json").write_bytes(
+            encode(forms.ClientConfig(self.node)) if status is None else status
+        )
+        os.rename(temp, self.up)
+
+    def put(self, file: str, data: bytes) -> None:
+        swap_file(DiskOps(), str(self.up), file, data)
+
+    def load(self) -> None:
+        self.put("load.json", encode(forms.LoadStatsRequest(self.node)))
+
+    def answer(self) -> None:
+        for name, data in read_group(str(self.down))[1].items():
+            got = read_response(data, forms.FILES[name[:-5]])
+            said = forms.DiscoveryRequest(got.version_info, self.node, [], got.type_url, got.nonce)
+            self.put(name, encode(said))
+
+    def hosts(self) -> set[str]:
+        try:
+            data = read_group(str(self.down))[1]["eds.json"]
+        except FileNotFoundError:
+            return set()
+        rows = [line for table in tables.read_tables(data)[1] for line in tables.lines(table)]
+        return {line[0] for line in rows if not line[5]}
+
+
+class Roster:
+    def __init__(self) -> None:
+        self.index, self.how = 1, "good"
+        self.hosts = {"a": False, "b": False, "c": False}
+
+    def body(self) -> bytes:
+        rows = [
+            {
+                "Service": {"ID": name, "Address": "127.0.0.1", "Port": 9000 + k},
+                "Node": {"Datacenter": "north"},
+                "Checks": [{"CheckID": f"_service_maintenance:{name}", "Status": "critical"}] if out else [],
+            }
+            for k, (name, out) in enumerate(self.hosts.items())
+        ]
+        return json.dumps(rows).encode()
+
+    async def answer(self, call: Call) -> Reply | None:
+        asked = self.index if b"index=" in call.target else 0
+        for _ in range(20):
+            if self.how == "good" and asked == self.index:
+                await trio.sleep(0.02)
+        if self.how == "stall":
+            await trio.sleep_forever()
+        body = self.body() if self.how == "good" else b"<h1>maintenance</h1>"
+        return Reply(200, [(b"x-consul-index", b"%d" % self.index)], body)
+
+
+Play = Callable[[Service, Roster, Log], Awaitable[None]]
+
+
+def serve(tmp_path: Path, play: Play, **parts: Any) -> Log:
+    """Runs a director while `play` goes on."""
+    log = Log()
+
+    async def run() -> None:
+        roster = Roster()
+
+        async def handler(stream: trio.SocketStream) -> None:
+            await answer_calls(stream, roster.answer)
+
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            nursery.start_soon(trio.serve_listeners, handler, listeners)
+            replace = msgspec.structs.replace
+            files = replace(
+                EXAMPLE.files, folder=str(tmp_path / "d"), **{"proxy_lost_after_ms": 20_000, **parts}
+            )
+            asked = replace(EXAMPLE.roster, url=url, wait_ms=300, timeout_ms=200)
+            kept = replace(EXAMPLE.records, file=str(tmp_path / "records"))
+            service = Service(replace(EXAMPLE, files=files, roster=asked, records=kept), log=log)
+            await nursery.start(service.run)
+            with trio.fail_after(30):
+                await play(service, roster, log)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return log
+
+
+async def until(what: Callable[[], bool], patience: float = 8.0) -> None:
+    with trio.fail_after(patience):
+        while not what():
+            await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize("durability", ["none", "file_and_folder"])
+@pytest.mark.parametrize("watch", ["inotify", "poll"])
+def test_a_proxy_joins_is_bound_hears_of_a_drain_and_leaves(
+    tmp_path: Path, watch: str, durability: str
+) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: one.hosts() == {"a", "b", "c"})
+        one.answer()
+        await until(lambda: not any(service.director.channel.waiting.values()))
+        roster.hosts["b"], roster.index = True, 2
+        await until(lambda: one.hosts() == {"a", "c"})
+        one.load()
+        os.rename(one.up, one.root / "away")
+        await until(lambda: not service.intake.present and not one.down.exists())
+
+    log = serve(tmp_path, play, watch=watch, durability=durability, poll_every_ms=20)
+    assert log.texts("warning") == [] and "proxy left" in log.texts()
+    kinds = [row["kind"] for row in read_records(str(tmp_path / "records"))]
+    assert {"started", "list", "joined", "order", "sent", "applied", "withdraw", "left", "ended"} <= set(
+        kinds
+    )
+
+
+def test_a_silent_proxy_is_given_up_and_comes_back(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: "p1" in service.intake.present)
+        await until(lambda: "p1" not in service.intake.present)
+        one.load()
+        await until(lambda: "p1" in service.intake.present and one.hosts() == {"a", "b", "c"})
+
+    log = serve(tmp_path, play, proxy_lost_after_ms=1200)
+    assert [row[2]["why"][:6] for row in log.rows if row[1] == "proxy left"] == ["silent"]
+
+
+BAD = {
+    "truncated": b'{"node": {"id": "bad"',
+    "huge": b" " * (2 << 20),
+    "wrong type": b"[1, 2, 3]",
+    "old version": encode(forms.DiscoveryRequest("0.1", forms.Node("bad"), [], forms.ASSIGNMENT, "0.1")),
+    "a version never sent": encode(
+        forms.DiscoveryRequest("", forms.Node("bad"), [], forms.ASSIGNMENT, "1.99999")
+    ),
+    "foreign node": encode(forms.DiscoveryRequest("", forms.Node("p1"), [], forms.ASSIGNMENT, "1.1")),
+    "binary": bytes(range(256)) * 40,
+}
+
+
+def test_bad_files_of_one_proxy_cost_that_proxy_alone(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        good, bad = ByHand(service, "p1"), ByHand(service, "bad")
+        good.join()
+        bad.join()
+        await until(lambda: good.hosts() == bad.hosts() == {"a", "b", "c"})
+        for k, (what, data) in enumerate(BAD.items()):
+            before = len(log.texts("warning"))
+            for _ in range(3):
+                bad.put("eds.json", data)
+                await trio.sleep(0.03)
+            wanted = 0 if what == "old version" else 1  # what another director sent before is no fault
+            await until(lambda before=before, wanted=wanted: len(log.texts("warning")) == before + wanted)  # type: ignore[misc]
+            bad.answer()  # a good one again
+            good.answer()
+            good.load()
+            bad.load()
+            gone = "abc"[k % 2]
+            roster.hosts["a"], roster.hosts["b"] = gone == "a", gone == "b"
+            roster.index += 1
+            await until(lambda gone=gone: gone not in good.hosts() and gone not in bad.hosts())  # type: ignore[misc]
+        os.mkfifo(bad.up / ".pipe")
+        os.rename(bad.up / ".pipe", bad.up / "load.json")  # nothing that is read may block
+        (bad.up / "rds.json").unlink()
+        os.symlink("/dev/zero", bad.up / "rds.json")
+        good.load()
+        assert {"p1", "bad"} <= set(service.intake.present)
+
+    serve(tmp_path, play)
+
+
+def test_folders_that_are_no_proxies_are_left_alone(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        up = Path(service.folder.up)
+        (up / "a file").write_bytes(b"")
+        (up / "plain").write_bytes(b"")
+        ByHand(service, "empty").join(b"")
+        ByHand(service, "noise").join(b"\xff" * 1000)
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: bool(one.hosts()))
+        assert list(service.intake.present) == ["p1"]
+
+    log = serve(tmp_path, play)
+    assert sorted(row[2]["proxy"] for row in log.rows if row[1] == "bad file of a proxy") == [
+        "empty",
+        "noise",
+    ]
+
+
+def test_a_roster_that_lies_or_stalls_is_told_once_and_tables_stay(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: len(one.hosts()) == 3)
+        for how in ("lies", "stall"):
+            before = log.texts("warning").count("no list from the roster")
+            roster.how = how
+            roster.index += 1
+            await until(lambda before=before: log.texts("warning").count("no list from the roster") > before)  # type: ignore[misc]
+            await trio.sleep(0.5)
+            one.load()
+            assert log.texts("warning").count("no list from the roster") == before + 1
+            assert len(one.hosts()) == 3
+            roster.how = "good"
+            await until(lambda: log.texts()[-1] == "the roster answers again", 15)
+
+    serve(tmp_path, play)
+
+
+def test_a_full_disk_is_told_once_and_the_last_order_goes_out_when_it_is_well(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: len(one.hosts()) == 3)
+        limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+        before = read_group(str(one.down))[1]
+        resource.setrlimit(resource.RLIMIT_FSIZE, (10, limits[1]))
+        try:
+            roster.hosts["b"], roster.index = True, 2
+            await until(lambda: "files cannot be swapped" in log.texts("warning"))
+            await trio.sleep(0.5)
+            assert read_group(str(one.down))[1] == before
+        finally:
+            resource.setrlimit(resource.RLIMIT_FSIZE, limits)
+        await until(lambda: one.hosts() == {"a", "c"})
+
+    log = serve(tmp_path, play)
+    assert log.texts("warning").count("files cannot be swapped") == 1
+    assert "files can be swapped again" in log.texts()
+
+
+def test_a_second_director_refuses_the_folder(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        with pytest.raises(FolderTaken, match="one folder serves one director"):
+            await Service(service.terms, log=Log()).run()
+
+    serve(tmp_path, play)
+
+
+def test_records_are_kept_through_a_disk_fault_and_a_cut_line(tmp_path: Path) -> None:
+    path = tmp_path / "records"
+    records = Records(str(path), 3)
+    for k in range(5):
+        records.note(k, "x", n=k)
+    records.flush()
+    limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (path.stat().st_size + 10, limits[1]))
+    records.note(9, "y")
+    records.flush()
+    assert records.failing
+    resource.setrlimit(resource.RLIMIT_FSIZE, limits)
+    records.flush()
+    with path.open("ab") as file:
+        file.write(b'{"t":1,"kin')
+    rows = read_records(str(path))
+    assert [row.get("n", row.get("records")) for row in rows] == [0, 1, 2, 2, None] and time.time() > 0
--- /dev/null
+++ b/tests/test_trial.py
@@ -0,0 +1,91 @@
+"""Whole fleets on loopback: a short bad day keeps the rules, and each rule broken on purpose is seen."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import msgspec
+import trio
+
+from willowhook.config.example import EXAMPLE
+from willowhook.trial.badday import report, short_day
+from willowhook.trial.day import Trouble, arrivals, draw
+from willowhook.trial.judge import Verdict
+from willowhook.trial.stage import Stage, play
+
+TROUBLE = {
+    1: [],
+    2: [Trouble("host_hang", 2.5, 4.0, 0.4)],
+    3: [Trouble("shrink", 3.0, 5.0, 0.3)],
+    4: [Trouble("host_crash", 0.5, 1.0, 0.2)],
+    5: [],
+}
+
+
+def broken(rule: int, folder: Path) -> list[Verdict]:
+    """A day under a director that breaks this rule."""
+    day = draw(rule, 9.0, hosts=5, proxies=3, directors=1, calls_per_s=45.0, troubles=TROUBLE[rule], spare=0)
+    if rule == 4:  # warm before the first director forgets its caution towards cold hosts
+        day.length_s, day.calls_per_s = 14.0, 70.0
+        day.troubles = [Trouble("host_crash", 5.0, 2.0, 0.2)]
+    command = [sys.executable, str(Path(__file__).parent / "broken_director.py"), str(rule)]
+    return trio.run(Stage(day, folder, director=command).run).verdicts
+
+
+def test_each_rule_broken_on_purpose_is_seen(tmp_path: Path) -> None:
+    def one(rule: int) -> list[Verdict]:
+        got = subprocess.run(
+            [sys.executable, __file__, str(rule), str(tmp_path / str(rule))], capture_output=True, text=True
+        )
+        assert got.returncode == 0, got.stderr
+        return [Verdict(**row) for row in msgspec.json.decode(got.stdout)]
+
+    with ThreadPoolExecutor(5) as pool:
+        verdicts = dict(zip(range(1, 6), pool.map(one, range(1, 6)), strict=True))
+    for rule, rows in verdicts.items():
+        lines = "\n".join(row.line() for row in rows)
+        assert not rows[rule - 1].kept and rows[rule - 1].found, f"rule {rule} was not seen broken:\n{lines}"
+        if rule in (2, 3, 5):
+            assert sum(not row.kept for row in rows) == 1, lines
+
+
+def test_a_short_bad_day_keeps_the_rules(tmp_path: Path) -> None:
+    from willowhook.trial.badday import one
+
+    done = one(short_day(3), tmp_path, (), lambda text: None)
+    assert done.director.kept, "\n".join(report(done))
+    assert done.director.service > 0.5 and done.director.answered > 200
+
+
+def test_arrivals_are_the_same_whatever_serves_them() -> None:
+    assert arrivals(draw(5)) == arrivals(draw(5)) and arrivals(draw(5)) != arrivals(draw(6))
+
+
+def test_a_director_ends_cleanly_and_a_second_one_is_refused(tmp_path: Path) -> None:
+    files = msgspec.structs.replace(EXAMPLE.files, folder=str(tmp_path / "d"))
+    terms = msgspec.structs.replace(
+        EXAMPLE, files=files, records=msgspec.structs.replace(EXAMPLE.records, file="")
+    )
+    path = tmp_path / "d.json"
+    path.write_bytes(msgspec.json.encode(terms))
+    args = [sys.executable, "-m", "willowhook.cli", "director", "--config", str(path), "--log-format", "json"]
+    first = subprocess.Popen(args, stderr=subprocess.PIPE, text=True)
+    assert first.stderr is not None
+    assert '"event": "started"' in first.stderr.readline()
+    second = subprocess.run(args, capture_output=True, text=True)
+    assert second.returncode == 3 and "one folder serves one director" in second.stderr
+    time.sleep(0.2)
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(10) == 0 and '"event": "ended"' in first.stderr.read()
+
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(Path(__file__).parent.parent))
+    made = broken(int(sys.argv[1]), Path(sys.argv[2]))
+    print(msgspec.json.encode(made).decode())
+    assert play
--- /dev/null
+++ b/tests/test_xds.py
@@ -0,0 +1,170 @@
+"""The forms: strict parsing of every kind of file by the published protobuf types, and there and back."""
+
+from __future__ import annotations
+
+import json
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from willowhook.xds import forms, orca, tables
+from willowhook.xds.codec import FormError, decode, duration, encode, read_response, response, seconds
+
+LINES = [("a", "127.0.0.1", 81, "north", 0.25, False), ("b", "127.0.0.1", 82, "south", 1.5, True)]
+
+
+def strictly(data: bytes, kind: str):  # type: ignore[no-untyped-def]
+    """Parsed by the library's types, unknown fields refused; imports register the types that `Any` needs."""
+    from envoy.config.cluster.v3 import cluster_pb2  # noqa: F401
+    from envoy.config.endpoint.v3 import endpoint_pb2  # noqa: F401
+    from envoy.config.route.v3 import route_pb2  # noqa: F401
+    from envoy.extensions.filters.http.fault.v3 import fault_pb2  # noqa: F401
+    from envoy.extensions.filters.http.local_ratelimit.v3 import local_rate_limit_pb2  # noqa: F401
+    from envoy.extensions.retry.host.previous_hosts.v3 import previous_hosts_pb2  # noqa: F401
+    from envoy.service.discovery.v3 import discovery_pb2
+    from envoy.service.load_stats.v3 import lrs_pb2
+    from envoy.service.status.v3 import csds_pb2
+    from google.protobuf import json_format
+
+    module = {
+        "DiscoveryResponse": discovery_pb2, "DiscoveryRequest": discovery_pb2,
+        "LoadStatsRequest": lrs_pb2, "ClientConfig": csds_pb2,
+    }[kind]  # fmt: skip
+    return json_format.Parse(data, getattr(module, kind)())
+
+
+def route_file(levels: list[tuple[str, float]], tries: int) -> bytes:
+    rows = [
+        tables.route(f"r{k}", f"/r{k}", "c", 15_000, tables.retry(tries, 9000), tables.level(admit, value, 1))
+        for k, (admit, value) in enumerate(levels)
+    ]
+    return response("1.7", forms.ROUTES, "1.7", [encode(tables.route_set("calls", rows))])
+
+
+@pytest.mark.parametrize("tries", [0, 1, 2, 3])
+def test_every_kind_of_file_down_is_what_the_published_types_say(tries: int) -> None:
+    eds = response("1.7", forms.ASSIGNMENT, "1.7", [encode(tables.assignment("t0", LINES))])
+    got = strictly(eds, "DiscoveryResponse")
+    assert got.version_info == "1.7" and got.resources[0].type_url == forms.ASSIGNMENT
+    for pick, strikes in (("pair", 5), ("lottery", 0), ("wheel", 1)):
+        cluster = tables.cluster("c", "t0", "eds.json", pick, 2500, strikes)
+        strictly(response("1.7", forms.CLUSTER, "1.7", [encode(cluster)]), "DiscoveryResponse")
+    rds = route_file([("rps", 12.34), ("ratio", 0.4), ("rps", 0.0), ("none", 0.1), ("rps", 1e6)], tries)
+    strictly(rds, "DiscoveryResponse")
+
+
+def test_every_kind_of_file_up_is_what_the_published_types_say() -> None:
+    node = forms.Node("p1", "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 3.5})
+    request = forms.DiscoveryRequest(
+        "1.7", node, ["t0"], forms.ASSIGNMENT, "1.8", forms.Status(3, "no table")
+    )
+    assert strictly(encode(request), "DiscoveryRequest").error_detail.message == "no table"
+    at = forms.Address(forms.SocketAddress("127.0.0.1", 81))
+    metric = forms.LoadMetricStats("cpu_utilization", 3, 1.5)
+    row = forms.UpstreamEndpointStats(at, 3, 1, 2, 5, [metric])
+    zone = forms.UpstreamLocalityStats(forms.Locality(zone="north"), 3, 2, 5, [row])
+    stats = forms.ClusterStats("r@t0", "", [zone], 4, [forms.DroppedRequests("throttled", 4)], "0.5s")
+    load = strictly(encode(forms.LoadStatsRequest(node, [stats])), "LoadStatsRequest")
+    assert (
+        load.cluster_stats[0].upstream_locality_stats[0].upstream_endpoint_stats[0].total_error_requests == 2
+    )
+    held = forms.GenericXdsConfig(forms.ASSIGNMENT, "t0", "1.7", tables_raw(), "ACKED")
+    strictly(encode(forms.ClientConfig(node, [held])), "ClientConfig")
+
+
+def tables_raw():  # type: ignore[no-untyped-def]
+    import msgspec
+
+    return msgspec.Raw(encode(tables.assignment("t0", LINES)))
+
+
+def test_what_a_library_writes_can_be_read() -> None:
+    from google.protobuf import json_format
+
+    eds = response("1.7", forms.ASSIGNMENT, "1.7", [encode(tables.assignment("t0", LINES))])
+    again = json_format.MessageToJson(strictly(eds, "DiscoveryResponse"), preserving_proto_field_name=True)
+    assert tables.lines(tables.read_tables(again.encode())[1][0]) == LINES
+
+
+weights = st.floats(1e-4, 100, allow_nan=False)
+names = st.text("abcdef-0123456789", min_size=1, max_size=8)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    st.dictionaries(names, st.tuples(st.integers(1, 65535), st.sampled_from("xyz"), weights, st.booleans()))
+)
+def test_a_table_comes_back_as_it_went(rows: dict[str, tuple[int, str, float, bool]]) -> None:
+    there = [(name, "127.0.0.1", *row) for name, row in rows.items()]
+    back = tables.lines(decode(encode(tables.assignment("t", there)), forms.ClusterLoadAssignment))
+    assert sorted(row[:4] + row[5:] for row in back) == sorted(row[:4] + row[5:] for row in there)
+    for row in back:
+        assert abs(row[4] - rows[row[0]][2]) <= 0.5 / tables.SCALE + 1e-9
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.sampled_from(["rps", "ratio", "none"]), st.floats(0, 1e5, allow_nan=False), st.integers(0, 3))
+def test_levels_and_tries_come_back_as_they_went(admit: str, value: float, tries: int) -> None:
+    row = tables.route("r", "/r", "c", 1, tables.retry(tries, 100), tables.level(admit, value, 1))
+    back = decode(encode(row), forms.Route)
+    share, rate = tables.level_of(back.typed_per_filter_config)
+    assert tables.tries_of(back.route.retry_policy) == tries
+    if admit == "none" or (admit == "ratio" and value >= 1) or value >= tables.UNLIMITED:
+        assert (share, rate) == (1.0, math.inf)
+    elif admit == "ratio" or value < tables.LEAST:
+        assert abs(share - value * (admit == "ratio")) < 1e-6 and rate == math.inf
+    else:
+        assert share == 1.0 and abs(rate / value - 1) < 1e-3
+
+
+def test_the_longest_path_is_matched_first() -> None:
+    rows = [tables.route(n, n, "c", 1, tables.retry(1, 0), {}) for n in ("/a", "/a/b/c", "/a/b")]
+    made = tables.route_set("calls", rows).virtual_hosts[0].routes
+    assert [row.name for row in made] == ["/a/b/c", "/a/b", "/a"]
+
+
+@pytest.mark.parametrize(
+    ("body", "cause"),
+    [
+        (b"", "not a DiscoveryResponse"),
+        (b"\xff\xfe\x00", "not a DiscoveryResponse"),
+        (b"[" * 10_000, "not a DiscoveryResponse"),
+        (b'{"type_url": "x"}', "type_url is 'x'"),
+        (b'{"version_info": 3}', "Expected `str`"),
+    ],
+)
+def test_a_bad_file_is_refused_with_its_place(body: bytes, cause: str) -> None:
+    with pytest.raises(FormError, match=cause):
+        read_response(body, forms.ASSIGNMENT)
+
+
+def test_a_bad_resource_is_named() -> None:
+    bad = response(
+        "1", forms.ASSIGNMENT, "1", [b'{"@type": "%s", "endpoints": 3}' % forms.ASSIGNMENT.encode()]
+    )
+    with pytest.raises(FormError, match=r"resources\[0\].*endpoints"):
+        tables.read_tables(bad)
+    row = json.loads(encode(tables.assignment("t0", LINES)))
+    row["endpoints"][0]["lb_endpoints"][0]["load_balancing_weight"] = 0
+    with pytest.raises(FormError, match="'a' has no weight"):
+        tables.lines(decode(json.dumps(row).encode(), forms.ClusterLoadAssignment))
+
+
+def test_durations_and_load_reports() -> None:
+    assert duration(2500) == "0.25s" and duration(10_000) == "1s" and seconds("1.5s") == 1.5
+    for bad in ("1", "xs", "nans", "infs"):
+        with pytest.raises(FormError):
+            seconds(bad)
+    told = orca.read(orca.write({"cpu_utilization": 0.5, "named_metrics.queue": 3}))
+    assert orca.load(told) == {"busy": 0.5, "q": 3.0}
+    assert (
+        orca.read(b'JSON {"cpu_utilization": 0.25, "named_metrics": {"queue": 2}}')["named_metrics.queue"]
+        == 2
+    )
+    assert (
+        orca.read(b"BIN abc") == {}
+        and orca.read(b"JSON {") == {}
+        and orca.read(b"TEXT a=nan,b,c=1") == {"c": 1}
+    )
--- a/willowhook/director/main.py
+++ b/willowhook/director/main.py
@@ -18,6 +18,24 @@
 TAKEN, BROKEN = 3, 4
 
 
+class Lines:
+    """Writes log lines to standard error; a log that cannot be written must not end a director."""
+
+    def __init__(self) -> None:
+        self._lost = 0
+
+    def msg(self, text: str) -> None:
+        try:
+            lost = f"{self._lost} log lines were lost\n" if self._lost else ""
+            sys.stderr.write(f"{lost}{text}\n")
+            sys.stderr.flush()
+            self._lost = 0
+        except (OSError, ValueError):
+            self._lost += 1
+
+    info = warning = error = critical = debug = msg
+
+
 def open_log(form: str) -> Any:
     """Lines on standard error, as JSON objects or for people."""
     if form == "json":
@@ -32,7 +50,7 @@
             render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=Lines,
     )
     return structlog.get_logger()
 
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -347,7 +347,9 @@
             try:
                 swap_file(self.ops, self.folder.path, LIST, roster.body)
             except OSError as fault:
-                self._mode("disk", True, "the list cannot be kept", cause=str(fault))
+                self._mode("list", True, "the list cannot be kept", cause=str(fault))
+            else:
+                self._mode("list", False, "the list can be kept again")
         return True
 
     def _new_roster(self) -> Roster:
@@ -480,7 +482,7 @@
         try:
             shelf.open()
         except OSError as fault:
-            self._mode("disk", True, "a proxy's folder cannot be made", proxy=name, cause=str(fault))
+            self._mode("disk", True, "files cannot be swapped", proxy=name, cause=str(fault))
         self._shelves[proxy], self._marks[proxy] = shelf, []
         hosts = {k: held.hosts(route.name) for k, route in enumerate(self.terms.routes)}
         self.book.join(proxy, zone, hosts)
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -9,6 +9,7 @@
 import resource
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -496,16 +497,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports that nobody uses now."""
-    import socket
-
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Ports that nobody uses now, outside those that connections are given; apart for days side by side."""
+    found, port = list[int](), 11_000 + os.getpid() % 64 * 320
+    while len(found) < count:
+        port += 1
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            found.append(port)
+    return found
 
 
 def play(day: Day, folder: Path, how: str = "director", **more: Any) -> Outcome:
--- a/willowhook/trial/standin_host.py
+++ b/willowhook/trial/standin_host.py
@@ -183,7 +183,7 @@
         self.notes.note("born", host=self.plan.id, cold=bool(self.o.cold_s))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.notes.run)
-            listen = partial(trio.serve_tcp, self.serve, self.plan.port)
+            listen = partial(trio.serve_tcp, self.serve, 0, host="127.0.0.1")
             listeners: Any = await nursery.start(listen)
             port = listeners[0].socket.getsockname()[1]
             print(port, flush=True)
--- a/willowhook/trial/standin_proxy.py
+++ b/willowhook/trial/standin_proxy.py
@@ -557,7 +557,7 @@
                     nursery.start_soon(proxy.keep)
                     nursery.start_soon(proxy.tell)
                 serve = partial(answer_calls, answer=proxy.answer)
-                await trio.serve_tcp(serve, proxy.plan.port, handler_nursery=nursery)
+                await trio.serve_tcp(serve, proxy.plan.port, host="127.0.0.1", handler_nursery=nursery)
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
--- a/willowhook/xds/tables.py
+++ b/willowhook/xds/tables.py
@@ -16,6 +16,7 @@
 MOST = 2**32 - 1
 FILL = 0.05  # the shortest time between fills that the published filter allows, seconds
 MILLION = 1_000_000
+LEAST = 1e-4  # calls a second at one proxy under which none is let in
 UNLIMITED = 100_000.0  # calls a second at one proxy from which no limit is written
 PROOF = "x-never-ran"  # a host that gives a call back unbegun says so with this header
 NEVER_RAN = "connect-failure,refused-stream,retriable-headers"
@@ -100,8 +101,9 @@
     """A level: as a rate the local rate limit, as a share the abort percentage; nothing if all is let in."""
     if admit == "none" or (admit == "ratio" and value >= 1) or (admit == "rps" and value >= UNLIMITED):
         return {}
-    if admit == "ratio" or value <= 0:
-        cut = round((1 - min(max(value, 0.0), 1.0)) * MILLION)
+    if admit == "ratio" or value < LEAST:
+        share = min(max(value, 0.0), 1.0) if admit == "ratio" else 0.0
+        cut = round((1 - share) * MILLION)
         abort = forms.FaultAbort(THROTTLED, forms.Percentage(cut, "MILLION"))
         return {forms.FAULT_FILTER: forms.HTTPFault(abort)}
     tokens = max(1, math.ceil(value * FILL))
