--- a/tests/broken_director.py
+++ b/tests/broken_director.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import sys
+from pathlib import Path
 from typing import Any
 
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
 from willowhook.cli.main import main
 from willowhook.director import book
 from willowhook.rules import Director
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -13,10 +13,10 @@
 import trio
 
 from willowhook.config.example import EXAMPLE
-from willowhook.trial.badday import report, short_day
+from willowhook.trial.badday import one, report, short_day
 from willowhook.trial.day import Trouble, arrivals, draw
 from willowhook.trial.judge import Verdict
-from willowhook.trial.stage import Stage, play
+from willowhook.trial.stage import Stage
 
 TROUBLE = {
     1: [],
@@ -38,15 +38,11 @@
 
 
 def test_each_rule_broken_on_purpose_is_seen(tmp_path: Path) -> None:
-    def one(rule: int) -> list[Verdict]:
-        got = subprocess.run(
-            [sys.executable, __file__, str(rule), str(tmp_path / str(rule))], capture_output=True, text=True
-        )
-        assert got.returncode == 0, got.stderr
-        return [Verdict(**row) for row in msgspec.json.decode(got.stdout)]
+    def played(rule: int) -> list[Verdict]:
+        return broken(rule, tmp_path / str(rule))
 
     with ThreadPoolExecutor(5) as pool:
-        verdicts = dict(zip(range(1, 6), pool.map(one, range(1, 6)), strict=True))
+        verdicts = dict(zip(range(1, 6), pool.map(played, range(1, 6)), strict=True))
     for rule, rows in verdicts.items():
         lines = "\n".join(row.line() for row in rows)
         assert not rows[rule - 1].kept and rows[rule - 1].found, f"rule {rule} was not seen broken:\n{lines}"
@@ -55,8 +51,6 @@
 
 
 def test_a_short_bad_day_keeps_the_rules(tmp_path: Path) -> None:
-    from willowhook.trial.badday import one
-
     done = one(short_day(3), tmp_path, (), lambda text: None)
     assert done.director.kept, "\n".join(report(done))
     assert done.director.service > 0.5 and done.director.answered > 200
@@ -82,10 +76,3 @@
     time.sleep(0.2)
     first.send_signal(signal.SIGTERM)
     assert first.wait(10) == 0 and '"event": "ended"' in first.stderr.read()
-
-
-if __name__ == "__main__":
-    sys.path.insert(0, str(Path(__file__).parent.parent))
-    made = broken(int(sys.argv[1]), Path(sys.argv[2]))
-    print(msgspec.json.encode(made).decode())
-    assert play
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import math
 import os
@@ -12,6 +13,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -83,6 +85,7 @@
         self.logs: list[IO[bytes]] = []
         self.usage: dict[str, dict[str, float]] = {}
         self.starts = 0
+        self.ports = Ports()
 
     # Processes.
 
@@ -225,7 +228,7 @@
         if self.how == "director":
             for rank in range(day.directors):
                 self.start_director(rank)
-        ports = free_ports(len(day.proxies))
+        ports = self.ports.take(len(day.proxies))
         for plan, port in zip(day.proxies, ports, strict=True):
             plan.port = port
         if self.how == "director":
@@ -283,6 +286,7 @@
                 process.stdout.close()
         for file in self.logs:
             file.close()
+        self.ports.close()
         self.notes.flush()
 
     def all_alive(self) -> None:
@@ -496,18 +500,38 @@
 TROUBLES = sorted(name.removeprefix("strike_") for name in dir(Stage) if name.startswith("strike_"))
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that nobody uses now, outside those that connections are given; apart for days side by side."""
-    found, port = list[int](), 11_000 + os.getpid() % 64 * 320
-    while len(found) < count:
-        port += 1
-        with socket.socket() as sock:
+class Ports:
+    """A block of ports outside those that connections are given, held against days side by side."""
+
+    BLOCKS, SIZE, FIRST = 40, 500, 11_000
+
+    def __init__(self) -> None:
+        for block in range(self.BLOCKS):
+            path = f"{tempfile.gettempdir()}/willowhook-ports-{os.getuid()}-{block}"
+            self._lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
+                fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                os.close(self._lock)
                 continue
-            found.append(port)
-    return found
+            self._next = self.FIRST + block * self.SIZE
+            return
+        raise RuntimeError("too many trials at one time")
+
+    def take(self, count: int) -> list[int]:
+        found = list[int]()
+        while len(found) < count:
+            self._next += 1
+            with socket.socket() as sock:
+                try:
+                    sock.bind(("127.0.0.1", self._next))
+                except OSError:
+                    continue
+                found.append(self._next)
+        return found
+
+    def close(self) -> None:
+        os.close(self._lock)
 
 
 def play(day: Day, folder: Path, how: str = "director", **more: Any) -> Outcome:
