--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -86,3 +86,22 @@
     for line in days.report(done):
         click.echo(line)
     sys.exit(0 if done.director.kept else 1)
+
+
+@trial.command()
+@click.option("--swaps", "count", type=click.IntRange(10, 1_000_000), default=10_000, show_default=True)
+@click.option("--readers", type=click.IntRange(1, 64), default=8, show_default=True)
+@click.option(
+    "--durability", type=click.Choice(["none", "file", "file_and_folder"]), default="file", show_default=True
+)
+@click.option("--folder", type=click.Path(), default="")
+def swaps(count: int, readers: int, durability: str, folder: str) -> None:
+    """Swaps without rest under load: no torn read, no call without a host, and what a swap costs."""
+    import tempfile
+
+    from ..trial.swaps import swaps as run
+
+    done = run(Path(folder or tempfile.mkdtemp(prefix="willowhook-")), count, readers, durability, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -87,9 +87,13 @@
 class Service:
     """The director of one folder.  `run` ends when cancelled, or raises what broke."""
 
-    def __init__(self, terms: Terms, ops: FileOps | None = None, log: Any = None) -> None:
+    def __init__(
+        self, terms: Terms, ops: FileOps | None = None, log: Any = None,
+        decider: Callable[..., Any] = Director, shelf: type[Shelf] = Shelf,
+    ) -> None:  # fmt: skip
         self.terms, self.facts = terms, facts(terms)
         self.ops, self.clock = ops or DiskOps(), Clock()
+        self._decider, self._shelf = decider, shelf
         self.log = (log or structlog.get_logger()).bind(director=terms.name)
         self.folder = Folder(terms.files.folder, self.ops)
         self.records = Records(terms.records.file, terms.records.most_waiting)
@@ -131,7 +135,7 @@
         self.intake = Intake(self, terms.name, epoch, routes, ticks(terms.files.proxy_lost_after_ms))
         self.book = OrderBook(self.facts, self._ordered)
         now = self.clock.now()
-        self.director = Director(Orders(self), self.facts, terms.seed * 1000 + epoch, now)
+        self.director = self._decider(Orders(self), self.facts, terms.seed * 1000 + epoch, now)
         self.log.info("started", epoch=epoch, folder=self.folder.path, process=os.getpid())
         self.records.note(now, "started", director=terms.name, epoch=epoch, wall=time.time())
         self._last_list()
@@ -478,7 +482,7 @@
         self._joins += 1
         self._names[proxy], self._held[proxy], self._files[proxy] = name, held, Files()
         series = f"{self.folder.epoch}-{self._joins}-"
-        shelf = Shelf(f"{self.folder.down}/{name}", self.ops, self.terms.files.durability, series)
+        shelf = self._shelf(f"{self.folder.down}/{name}", self.ops, self.terms.files.durability, series)
         try:
             shelf.open()
         except OSError as fault:
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -83,6 +83,7 @@
         self.directors: dict[int, subprocess.Popen[bytes]] = {}
         self.crews: list[tuple[list[str], subprocess.Popen[bytes]]] = []
         self.logs: list[IO[bytes]] = []
+        self.clients: list[subprocess.Popen[bytes]] = []
         self.usage: dict[str, dict[str, float]] = {}
         self.starts = 0
         self.ports = Ports()
@@ -141,7 +142,7 @@
         path = self.folder / f"director-{rank}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(terms)))
         args = [*self.command, "director", "--config", str(path), "--log-format", "json"]
-        self.directors[rank] = self.start(args, f"director-{rank}.log")
+        self.directors[rank] = self.start(args, f"director-{rank}.log", stdout=subprocess.DEVNULL)
         self.notes.note("director_up", d=f"director-{rank}")
 
     def kill_director(self, rank: int) -> None:
@@ -238,7 +239,6 @@
         path.write_bytes(msgspec.json.encode(day))
         self.zero = ticks() + SECOND
         parts = math.ceil(day.calls_per_s / 300)
-        clients = []
         for part in range(parts):
             orders = ClientOrders(
                 str(path), ports, str(self.folder / f"clients{part}.notes"), self.zero, part, parts
@@ -249,7 +249,7 @@
                 "willowhook.trial.standin_client",
                 msgspec.json.encode(orders).decode(),
             ]
-            clients.append(self.start(args, "clients.log"))
+            self.clients.append(self.start(args, "clients.log", stdout=subprocess.DEVNULL))
         for trouble in day.troubles:
             wait = (self.zero - ticks()) / SECOND + trouble.at_s
             if wait > 0:
@@ -261,7 +261,7 @@
                 nursery.start_soon(strike, trouble)
         longest = max(route.time_limit_ms for route in day.routes) / 1000
         with trio.move_on_after((self.zero - ticks()) / SECOND + day.length_s + longest + 5):
-            for client in clients:
+            for client in self.clients:
                 await trio.to_thread.run_sync(client.wait, abandon_on_cancel=True)
 
     def end(self) -> None:
@@ -269,9 +269,12 @@
             self.note_usage(rank, process.pid)
         processes = [process for _, process in self.crews]
         processes += [host.process for host in self.hosts.values() if host.process]
-        for process in processes:
+        for process in [*processes, *self.clients]:
             if process.stdin:
                 process.stdin.close()
+        for process in self.clients:
+            process.terminate()
+            process.wait()
         for process in self.directors.values():
             process.send_signal(signal.SIGCONT)
             process.terminate()
