Terms fence every order; proxies spread, go back and are sent away by a draining director

Need: what a director wrote in an earlier stay must be void, however late it lands; before, a proxy noted what lay there when it joined, which a later rename got past. Change: versions are TERM.EPOCH.NUMBER, the term being the proxy's own, kept on its disk; a director rules only while the newest file names it; silence is told by a timing wheel; files that nobody answered are put in place again; a director that starts again takes what it left in place for held. Tries are held to the narrower order, and keyed and mutating routes to proof, whatever is ordered.

--- a/tests/test_director_parts.py
+++ b/tests/test_director_parts.py
@@ -161,7 +161,9 @@
         return [row[0] for row in self.told]
 
 
-NODE = forms.Node("p1", "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 5})
+NODE = forms.Node(
+    "p1", "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 5, "term": 2, "director": "d"}
+)
 STATUS = encode(forms.ClientConfig(NODE))
 
 
@@ -181,10 +183,10 @@
 
 def test_answers_rise_and_refusals_are_told_once() -> None:
     ear, intake = listening()
-    for nonce in ("3.7", "3.7", "3.5", "2.99", "3.9"):
+    for nonce in ("2.3.7", "2.3.7", "2.3.5", "2.2.99", "1.3.40", "2.3.9"):
         intake.swapped(1, "p1", "eds.json", answer(nonce))
-    intake.swapped(2, "p1", "eds.json", answer("3.12", "no such table"))
-    intake.swapped(2, "p1", "eds.json", answer("3.12", "no such table"))
+    intake.swapped(2, "p1", "eds.json", answer("2.3.12", "no such table"))
+    intake.swapped(2, "p1", "eds.json", answer("2.3.12", "no such table"))
     assert ear.told == [("applied", 0, 7), ("applied", 0, 9), ("refused", 0, "eds", 12, "no such table")]
 
 
@@ -193,11 +195,13 @@
     [
         ("eds.json", b'{"version_info": "3', "not a DiscoveryRequest"),
         ("eds.json", b"\x00\x01\xff" * 50, "not a DiscoveryRequest"),
-        ("eds.json", answer("3.7", type_url=forms.ROUTES), "type_url is"),
-        ("eds.json", answer("3.7", node=forms.Node("p2")), "node.id is 'p2'"),
-        ("eds.json", answer("3.51"), "message 51, and 50 is the last"),
-        ("eds.json", answer("4.1"), "epoch 4, and this is 3"),
-        ("eds.json", answer("x"), "never sent"),
+        ("eds.json", answer("2.3.7", type_url=forms.ROUTES), "type_url is"),
+        ("eds.json", answer("2.3.7", node=forms.Node("p2")), "node.id is 'p2'"),
+        ("eds.json", answer("2.3.7", node=forms.Node("p1", metadata={"term": 2.5})), "no whole number"),
+        ("eds.json", answer("2.3.51"), "message 51, and 50 is the last"),
+        ("eds.json", answer("2.4.1"), "2.4.1, and this is term 2, epoch 3"),
+        ("eds.json", answer("3.3.1"), "3.3.1, and this is term 2, epoch 3"),
+        ("eds.json", answer("x"), "no TERM.EPOCH.NUMBER"),
         ("load.json", encode([1, 2]), "not a LoadStatsRequest"),
         ("load.json", b'{"cluster_stats": [{"load_report_interval": "-1s"}]}', "node.id is ''"),
         ("other.json", b"{}", "no file of this name"),
@@ -209,7 +213,7 @@
     intake.swapped(2, "p1", file, data)
     assert ear.names() == ["fault"] and cause in ear.told[0][2] and "p1" in intake.present
     if file == "eds.json":
-        intake.swapped(3, "p1", file, answer("3.7"))
+        intake.swapped(3, "p1", file, answer("2.3.7"))
         intake.swapped(4, "p1", file, data)
         assert ear.names() == ["fault", "applied", "fault"]
 
@@ -238,19 +242,57 @@
     assert ear.names() == ["fault"]
 
 
+def node(term: int, director: str = "d") -> forms.Node:
+    return forms.Node(
+        "p1", "calls", NODE.locality, {"usual_calls_per_s": 5, "term": term, "director": director}
+    )
+
+
+def test_a_director_rules_only_while_the_newest_file_names_it() -> None:
+    ear, intake = listening()
+    late = encode(forms.LoadStatsRequest(node(1)))  # of its last stay, put in place late
+    intake.swapped(1, "p1", "load.json", late)
+    intake.swapped(1, "p1", "eds.json", answer("2.3.7", node=node(1)))
+    assert ear.told == [] and intake.present["p1"].heard_at == 0
+    intake.swapped(2, "p1", "load.json", encode(forms.LoadStatsRequest(node(2, "other"))))
+    assert ear.told == [("left", 0, "p1", "follows other in term 2")]
+    assert not intake.appeared(3, "p1", {"status.json": encode(forms.ClientConfig(node(3, "other")))})
+    assert intake.appeared(4, "p1", {"status.json": encode(forms.ClientConfig(node(4)))})
+    assert ear.told[-1][0] == "joined" and ear.told[-1][7] == 4
+    intake.swapped(5, "p1", "load.json", encode(forms.LoadStatsRequest(node(5))))
+    assert ear.told[-1] == ("left", 0, "p1", "follows d in term 5")  # it came again: its folder tells how
+
+
+def test_a_director_that_starts_again_takes_what_it_left_there_for_held() -> None:
+    sent: list[Message] = []
+    book, renderer = OrderBook(FACTS, sent.append), Renderer(EXAMPLE, 2)
+    renderer.readdress({"a": ("127.0.0.1", 81, "north")})
+    book.join(0, "north", {})
+    book.line(0, "a", 1.0)
+    book.bind(0, 0, 0)
+    book.moment_over(0)
+    lies = renderer.files(2, 9, sent[-1].view, Held(), Files())
+    for term, hosts in ((2, {"a"}), (3, set())):
+        ear = Listener()
+        intake = Intake(ear, "d", 3, ("load",), 20_000)
+        assert intake.appeared(0, "p1", {"status.json": encode(forms.ClientConfig(node(term)))}, lies)
+        held = ear.told[0][6]
+        assert set(held.hosts("load")) == hosts
+
+
 def test_a_silent_proxy_has_left_and_a_foreign_or_broken_one_never_joins() -> None:
     ear, intake = listening(now=0)
     intake.swapped(15_000, "p1", "load.json", load(1, 0))
     intake.look(30_000)
     assert ear.names() == ["heard", "came"]
-    intake.look(35_001)
-    assert ear.told[-1] == ("left", 0, "p1", "silent for 2.0 s") and not intake.present
+    intake.look(36_000)
+    assert ear.told[-1] == ("left", 0, "p1", "silent for 2.1 s") and not intake.present
     assert not intake.appeared(0, "p2", {"status.json": STATUS})  # p1's status in p2's folder
     assert not intake.appeared(0, "p3", {})
     assert not intake.appeared(0, "p4", {"status.json": b"\x80"})
     assert ear.names()[-2:] == ["fault", "fault"]
     intake.swapped(0, "p4", "load.json", load(1, 0))  # unknown: nobody's news
-    assert intake.appeared(1, "p1", {"status.json": STATUS, "eds.json": answer("3.7")})
+    assert intake.appeared(1, "p1", {"status.json": STATUS, "eds.json": answer("2.3.7")})
     assert ear.told[-1][:2] == ("joined", 0) and ear.told[-1][5] is False  # the same number, and not fresh
 
 
@@ -268,7 +310,7 @@
 def rendered(
     number: int, renderer: Renderer, sent: list[Message], last: Files, held: Held
 ) -> dict[str, bytes]:
-    return renderer.files("p", number, sent[-1].view, held, last)
+    return renderer.files(6, number, sent[-1].view, held, last)
 
 
 def test_only_the_file_that_changed_gets_a_new_version_and_unbound_proxies_keep_their_tables() -> None:
@@ -299,4 +341,4 @@
     book.moment_over(2)
     third = rendered(3, renderer, sent, last, held)
     assert third["cds.json"] == second["cds.json"] and third["rds.json"] == second["rds.json"]
-    assert tables.read_tables(third["eds.json"])[0].nonce == "4.3"
+    assert tables.read_tables(third["eds.json"])[0].nonce == "6.4.3"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -48,7 +48,9 @@
     def __init__(self, service: Service, name: str) -> None:
         self.name, self.root = name, Path(service.folder.path)
         self.up, self.down = self.root / "up" / name, self.root / "down" / name
-        self.node = forms.Node(name, "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 4})
+        self.node = forms.Node(
+            name, "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 4, "term": 1}
+        )
 
     def join(self, status: bytes | None = None) -> None:
         temp = self.root / "up" / f".{self.name}"
@@ -183,15 +185,14 @@
     assert [row[2]["why"][:6] for row in log.rows if row[1] == "proxy left"] == ["silent"]
 
 
+OF_BAD = forms.Node("bad", metadata={"term": 1})
 BAD = {
     "truncated": b'{"node": {"id": "bad"',
     "huge": b" " * (2 << 20),
     "wrong type": b"[1, 2, 3]",
-    "old version": encode(forms.DiscoveryRequest("0.1", forms.Node("bad"), [], forms.ASSIGNMENT, "0.1")),
-    "a version never sent": encode(
-        forms.DiscoveryRequest("", forms.Node("bad"), [], forms.ASSIGNMENT, "1.99999")
-    ),
-    "foreign node": encode(forms.DiscoveryRequest("", forms.Node("p1"), [], forms.ASSIGNMENT, "1.1")),
+    "old version": encode(forms.DiscoveryRequest("0.1", OF_BAD, [], forms.ASSIGNMENT, "1.0.1")),
+    "a version never sent": encode(forms.DiscoveryRequest("", OF_BAD, [], forms.ASSIGNMENT, "1.1.99999")),
+    "foreign node": encode(forms.DiscoveryRequest("", forms.Node("p1"), [], forms.ASSIGNMENT, "1.1.1")),
     "binary": bytes(range(256)) * 40,
 }
 
--- a/willowhook/director/book.py
+++ b/willowhook/director/book.py
@@ -32,6 +32,7 @@
     bound: dict[int, TableState]
     withdrawn: Mapping[str, None]
     levels: Mapping[int, tuple[int, float]]  # for all tables
+    leave: bool = False  # it is to follow another director
 
 
 @dataclass(slots=True)
@@ -49,9 +50,11 @@
     """A joined proxy."""
 
     zone: str
+    rate: float  # usual calls a second
     held: dict[int, frozenset[str]]  # by route: the hosts that it held when it joined
     bound: dict[int, int] = field(default_factory=dict)
     owed: int = 0  # lines of this moment
+    leave: bool = False
 
 
 class OrderBook:
@@ -71,8 +74,8 @@
 
     # Members.
 
-    def join(self, proxy: int, zone: str, held: dict[int, frozenset[str]]) -> None:
-        self.members[proxy] = Member(zone, held)
+    def join(self, proxy: int, zone: str, held: dict[int, frozenset[str]], rate: float = 0.0) -> None:
+        self.members[proxy] = Member(zone, rate, held)
 
     def leave(self, proxy: int) -> None:
         self.members.pop(proxy, None)
@@ -121,6 +124,13 @@
         state.levels.update((route, (tries, level)) for route in self._bits(routes))
         self._charge(self.users(table), 1)
 
+    def send_away(self, proxy: int) -> None:
+        """The proxy is told, in one line, to follow another director."""
+        member = self.members.get(proxy)
+        if member is not None and not member.leave:
+            member.leave = True
+            self._charge([proxy], 1)
+
     def mark(self, number: int, everyone: bool) -> None:
         self._mark, self._everyone = number, everyone
 
@@ -135,7 +145,7 @@
                 state.shared = True
             self.count += 1
             lines = member.owed + self._head + (self._mark >= 0)
-            view = View(bound, self._withdrawn, self._levels)
+            view = View(bound, self._withdrawn, self._levels, member.leave)
             member.owed, self._frozen = 0, True
             self._out(Message(self.count, self._mark, proxy, lines, now, view))
         self._touched.clear()
--- a/willowhook/director/intake.py
+++ b/willowhook/director/intake.py
@@ -12,8 +12,10 @@
 from typing import Protocol
 
 from ..files.layout import LOAD, PROXY_NAME, STATUS
+from ..membership.claim import VersionError, names_me, read_version
+from ..membership.wheel import Wheel
 from ..xds import forms
-from ..xds.codec import FormError, decode, seconds
+from ..xds.codec import FormError, decode, read_response, seconds
 from ..xds.orca import load
 from .render import Held, read_held
 
@@ -27,7 +29,9 @@
 class Ear(Protocol):
     """Who is told.  Proxies go by number."""
 
-    def joined(self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held) -> None: ...
+    def joined(
+        self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held, term: int
+    ) -> None: ...
     def left(self, proxy: int, name: str, why: str) -> None: ...
     def applied(self, proxy: int, number: int) -> None: ...
     def refused(self, proxy: int, kind: str, number: int, cause: str) -> None: ...
@@ -49,6 +53,7 @@
 class Presence:
     number: int
     name: str
+    term: int
     heard_at: int
     applied: int = 0  # the newest message known to be applied
     refused: dict[str, int] = field(default_factory=dict)
@@ -61,10 +66,17 @@
         self._numbers: dict[str, int] = {}
         self.present: dict[str, Presence] = {}
         self._bad: dict[str, str] = {}  # by proxy: the file that was last found bad
+        self._overdue = Wheel(max(lost_after // 20, 1), 64, 0)
         self.newest = 0  # the last message ordered; no proxy can have applied a later one
 
-    def appeared(self, now: int, name: str, files: Mapping[str, bytes]) -> bool:
-        """A proxy's folder is there, with these files.  False if they do not make a proxy yet."""
+    def appeared(
+        self, now: int, name: str, files: Mapping[str, bytes], lies: Mapping[str, bytes] | None = None
+    ) -> bool:
+        """A proxy's folder is there, with these files.  False if they do not make a proxy yet.
+
+        `lies`: the group that a director of before left for this proxy; if it is of this stay, the proxy
+        holds it, or will, rather than what its status told when it came.
+        """
         if name in self.present:
             self.gone(now, name, "came again")
         try:
@@ -74,7 +86,10 @@
                 return False
             status = decode(files[STATUS], forms.ClientConfig)
             self._check_node(name, status.node)
-            held = read_held(status)
+            held = read_held([(row.type_url, bytes(row.xds_config)) for row in status.generic_xds_configs])
+            term = self._term(status.node)
+            if lies is not None and (told_here := self._told_before(lies, term)) is not None:
+                held = told_here
             try:
                 rate = float(status.node.metadata.get("usual_calls_per_s", 0))
             except (TypeError, ValueError) as fault:
@@ -85,27 +100,31 @@
             if number >= MOST_PROXIES:
                 del self._numbers[name]
                 raise FormError(f"more than {MOST_PROXIES} proxies have come")
+            told = status.node.metadata.get("director", self._director)
+            if told != self._director:
+                raise FormError(f"node.metadata.director is {told!r}, and this is {self._director!r}")
             requests = [decode(files[file], forms.DiscoveryRequest) for file in REQUESTS if file in files]
         except FormError as fault:
             self._found_bad(name, STATUS, str(fault))
             return False
         self._bad.pop(name, None)
-        self.present[name] = Presence(number, name, now)
+        self.present[name] = Presence(number, name, term, now)
+        self._overdue.set(name, now + self._lost_after + 1)
         fresh = not any(request.version_info for request in requests)
-        self._ear.joined(number, name, status.node.locality.zone, rate, fresh, held)
+        self._ear.joined(number, name, status.node.locality.zone, rate, fresh, held, term)
         return True
 
     def gone(self, now: int, name: str, why: str) -> None:
         presence = self.present.pop(name, None)
         if presence is not None:
+            self._overdue.drop(name)
             self._ear.left(presence.number, name, why)
 
     def look(self, now: int) -> None:
         """Proxies that have said nothing for too long have left."""
-        for presence in list(self.present.values()):
-            silent = now - presence.heard_at
-            if silent > self._lost_after:
-                self.gone(now, presence.name, f"silent for {silent / SECOND:.1f} s")
+        for name in self._overdue.overdue(now):
+            silent = now - self.present[name].heard_at
+            self.gone(now, name, f"silent for {silent / SECOND:.1f} s")
 
     def swapped(self, now: int, name: str, file: str, data: bytes) -> None:
         """A proxy that is here has put this file in place."""
@@ -114,15 +133,22 @@
             return
         try:
             if file in REQUESTS:
-                self._request(presence, REQUESTS[file], decode(data, forms.DiscoveryRequest))
+                request = decode(data, forms.DiscoveryRequest)
+                if not self._mine(now, presence, request.node):
+                    return
+                self._request(presence, REQUESTS[file], request)
             elif file == LOAD:
-                self._load(presence, decode(data, forms.LoadStatsRequest))
+                report = decode(data, forms.LoadStatsRequest)
+                if not self._mine(now, presence, report.node):
+                    return
+                self._load(presence, report)
             elif file != STATUS:
                 raise FormError("no file of this name is known")
         except FormError as fault:
             self._found_bad(name, file, str(fault))
             return
         presence.heard_at = now
+        self._overdue.set(name, now + self._lost_after + 1)
         if self._bad.get(name) == file:
             del self._bad[name]
 
@@ -139,20 +165,49 @@
         if node.id != name:
             raise FormError(f"node.id is {node.id[:80]!r}, in the folder of {name!r}")
 
+    @staticmethod
+    def _told_before(lies: Mapping[str, bytes], term: int) -> Held | None:
+        """None if the group is of another stay, or is no whole group."""
+        try:
+            envelopes = [read_response(lies[f"{kind}.json"], url) for kind, url in forms.FILES.items()]
+            if any(read_version(envelope.version_info).term != term for envelope in envelopes):
+                return None
+            return read_held([(row.type_url, bytes(raw)) for row in envelopes for raw in row.resources])
+        except (KeyError, FormError, VersionError):
+            return None
+
+    @staticmethod
+    def _term(node: forms.Node) -> int:
+        """The proxy's term, 0 from one that keeps none."""
+        term = node.metadata.get("term", 0)
+        if not isinstance(term, int | float) or not 0 <= term < 1e12 or term != int(term):
+            raise FormError(f"node.metadata.term is {str(term)[:40]}, no whole number")
+        return int(term)
+
+    def _mine(self, now: int, presence: Presence, node: forms.Node) -> bool:
+        """Whether this file is of the proxy's stay with this director, by what the proxy says itself."""
+        self._check_node(presence.name, node)
+        told = str(node.metadata.get("director", ""))
+        said = names_me(self._director, told, presence.term, self._term(node))
+        if said == "left":
+            self.gone(now, presence.name, f"follows {told or 'another'} in term {self._term(node)}")
+        return said == "mine"
+
     def _request(self, presence: Presence, kind: str, request: forms.DiscoveryRequest) -> None:
-        self._check_node(presence.name, request.node)
         if request.type_url != forms.FILES[kind]:
             raise FormError(f"type_url is {request.type_url[:80]!r}, not {forms.FILES[kind]!r}")
         if not request.response_nonce:
             return
-        epoch, _, number_text = request.response_nonce.partition(".")
-        if not (epoch.isdigit() and number_text.isdigit()) or len(request.response_nonce) > 40:
-            raise FormError(f"response_nonce is {request.response_nonce[:40]!r}, which was never sent")
-        number = int(number_text)
-        if int(epoch) != self._epoch:
-            if int(epoch) > self._epoch:
-                raise FormError(f"response_nonce is of epoch {epoch}, and this is {self._epoch}")
-            return  # what another before this one sent
+        try:
+            version = read_version(request.response_nonce)
+        except VersionError as fault:
+            raise FormError(f"response_nonce: {fault}") from fault
+        if version.epoch > self._epoch or version.term > presence.term:
+            here = f"term {presence.term}, epoch {self._epoch}"
+            raise FormError(f"response_nonce is {version}, and this is {here}")
+        if (version.term, version.epoch) != (presence.term, self._epoch):
+            return  # what was sent in another stay, or by another before this one
+        number = version.number
         if number > self.newest:
             raise FormError(f"response_nonce is of message {number}, and {self.newest} is the last")
         if request.error_detail is not None:
@@ -165,7 +220,6 @@
 
     def _load(self, presence: Presence, report: forms.LoadStatsRequest) -> None:
         """Sums of one period.  All of a report is checked before any of it counts."""
-        self._check_node(presence.name, report.node)
         hosts: dict[str, list[float]] = {}  # address: answered, errors, latency sum, answered with latency
         told: dict[str, dict[str, list[float]]] = {}
         came = []
@@ -181,6 +235,8 @@
                     if not (0 <= good < MOST_CALLS and 0 <= bad < MOST_CALLS):
                         raise FormError(f"{cluster.cluster_name}: {good} answered and {bad} errors")
                     at = row.address.socket_address
+                    if at is None:
+                        raise FormError(f"{cluster.cluster_name}: an endpoint has no address")
                     address = f"{at.address}:{at.port_value}"
                     mine = hosts.setdefault(address, [0, 0, 0.0, 0])
                     mine[0] += good
--- a/willowhook/director/render.py
+++ b/willowhook/director/render.py
@@ -11,12 +11,15 @@
 
 import msgspec
 
+from ..config.facts import SEMANTICS
 from ..config.terms import Terms
+from ..membership.claim import Version, safe_tries
 from ..xds import forms, tables
 from ..xds.codec import FormError, decode, encode, response
 from .book import TableState, View
 
 FILE = ".json"
+DIRECTORS = "directors"  # the table of directors, whose only line is this one, draining
 Address = tuple[str, int, str]  # address, port, zone
 Row = tuple[forms.Route, bytes, str]  # what a proxy held for a route: its route, cluster, and table's name
 
@@ -34,20 +37,21 @@
         return frozenset(line[0] for line in tables.lines(table)) if table else frozenset()
 
 
-def read_held(status: forms.ClientConfig) -> Held:
-    """Raises FormError where the status holds what is no proper resource."""
+def read_held(resources: list[tuple[str, bytes]]) -> Held:
+    """What these resources, each with its type, make; FormError where one is no proper resource."""
     held, clusters = Held(), dict[str, tuple[bytes, str]]()
     rows: list[forms.Route] = []
-    for config in status.generic_xds_configs:
-        body = bytes(config.xds_config)
-        if config.type_url == forms.ASSIGNMENT:
+    for type_url, body in resources:
+        if type_url == forms.ASSIGNMENT:
             table = decode(body, forms.ClusterLoadAssignment)
+            if table.cluster_name == DIRECTORS:
+                continue
             tables.lines(table)
             held.assignments[table.cluster_name] = table
-        elif config.type_url == forms.CLUSTER:
+        elif type_url == forms.CLUSTER:
             cluster = decode(body, forms.Cluster)
             clusters[cluster.name] = (body, cluster.eds_cluster_config.service_name or cluster.name)
-        elif config.type_url == forms.ROUTES:
+        elif type_url == forms.ROUTES:
             for host in decode(body, forms.RouteConfiguration).virtual_hosts:
                 rows += host.routes
     for row in rows:
@@ -81,7 +85,7 @@
             self._addresses = addresses
             self._generation += 1
 
-    def files(self, proxy: str, number: int, view: View, held: Held, last: Files) -> dict[str, bytes]:
+    def files(self, term: int, number: int, view: View, held: Held, last: Files) -> dict[str, bytes]:
         """The files by name; those that a proxy keeps as they are, unbound as it is, are left out."""
         assignments, clusters, rows = dict[str, bytes](), list[bytes](), list[bytes]()
         routes = sorted(enumerate(self._terms.routes), key=lambda row: -len(row[1].path))
@@ -99,17 +103,25 @@
                     assignments[name] = self._drained(held.assignments[name], view)
                 clusters.append(body)
                 rows.append(encode(row))
+        if view.leave:
+            assignments[DIRECTORS] = self._away()
         made = {"eds": list(assignments.values())}
         if view.bound:
             made["cds"] = clusters
             made["rds"] = [self._route_set(rows)]
-        version = f"{self._epoch}.{number}"
+        version = str(Version(term, self._epoch, number))
         for kind, resources in made.items():
             if last.resources.get(kind) != resources:
                 last.resources[kind] = resources
                 last.bodies[kind + FILE] = response(version, forms.FILES[kind], version, resources)
         return {kind + FILE: last.bodies[kind + FILE] for kind in made}
 
+    def _away(self) -> bytes:
+        """This director as one that drains: the proxy is to follow another."""
+        at = forms.Address(pipe=forms.Pipe(self._terms.files.folder))
+        row = forms.LbEndpoint(forms.Endpoint(at, self._terms.name), forms.DRAINING)
+        return encode(forms.ClusterLoadAssignment(DIRECTORS, [forms.LocalityLbEndpoints(lb_endpoints=[row])]))
+
     def _table(self, name: str, state: TableState, view: View) -> bytes:
         out = tuple(host for host in state.lines if host in view.withdrawn)
         key = (out, self._generation)
@@ -145,7 +157,10 @@
         if body is None:
             if len(self._rows) > 5000:  # levels of long ago
                 self._rows.clear()
-            policy = tables.retry(tries, round(fleet.try_factor * route.slo_time_ms * 10))
+            policy = tables.retry(
+                safe_tries(SEMANTICS[route.semantics], tries),
+                round(fleet.try_factor * route.slo_time_ms * 10),
+            )
             filters = tables.level(fleet.admit, level, fleet.come_back_s)
             row = tables.route(route.name, route.path, to, round(route.time_limit_ms * 10), policy, filters)
             body = self._rows[key] = encode(row)
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -19,9 +19,9 @@
 
 from ..config.facts import facts, ticks
 from ..config.terms import Terms
-from ..files.layout import LIST, LOAD, PROXY_NAME, STATUS, Folder
+from ..files.layout import DRAIN, LIST, LOAD, PROXY_NAME, STATUS, Folder
 from ..files.ops import DiskOps, FileOps, remove
-from ..files.swap import Shelf, read_at, swap_file
+from ..files.swap import Shelf, read_at, read_group, swap_file
 from ..files.watch import Watch, open_watch
 from ..records.writer import Records
 from ..roster.forms import Host, RosterError, read_hosts
@@ -36,6 +36,7 @@
 
 SECOND = 10_000
 MOST_PROBES = 500  # at once
+RESEND = 2 * SECOND  # files that are not answered by then are put in place again
 START = 100_000 * SECOND  # of this clock: hosts may have started before the machine's own clock did
 UP_FILES = (STATUS, *REQUESTS, LOAD)
 OK, ERROR, FULL, TIMED_OUT, DOWN, BROKE = range(6)  # outcomes of a probe
@@ -113,6 +114,9 @@
         self._files: dict[int, Files] = {}
         self._held: dict[int, Held] = {}
         self._joins = 0
+        self._terms_of: dict[int, int] = {}  # of each proxy's stay
+        self._resend: dict[int, tuple[int, int]] = {}  # by proxy: when to look for its answer, and the wait
+        self._draining = False
         self._unsent: dict[int, Message] = {}  # whose swap failed: the newest, which holds all
         self._marks: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: message, mark, when ordered
         self._put: dict[int, int] = {}  # by proxy: the message whose files lie there
@@ -167,6 +171,22 @@
             shown = {key: str(value) for key, value in parts.items()}
             self.records.note(self.clock.now(), "mode", name=name, on=on, **shown)
 
+    # Draining this director: its proxies are handed over one by one.
+
+    def _drain(self, now: int) -> None:
+        """One proxy a tenth of a second at most, of least traffic first, as the queue has room."""
+        wanted = os.path.exists(f"{self.folder.path}/{DRAIN}")
+        if wanted != self._draining:
+            self._draining = wanted
+            text = "draining: proxies are sent to others" if wanted else "no longer draining"
+            self._mode("drain", wanted, text, proxies=len(self.book.members))
+        if not wanted or self.channel.waiting > self.facts.channel.most_waiting / 6:
+            return
+        here = self.book.members
+        rows = sorted((member.rate, proxy) for proxy, member in here.items() if not member.leave)
+        if rows:
+            self.book.send_away(rows[0][1])
+
     async def _beat(self) -> None:
         """Signs of life, as long as decisions are made: a director that is stuck must look dead."""
         patience = 10 * SECOND
@@ -202,6 +222,7 @@
             if now - last_look >= SECOND // 10:
                 last_look = now
                 self.intake.look(now)
+                self._drain(now)
                 self._compare(now)
             await trio.lowlevel.checkpoint()
 
@@ -273,6 +294,7 @@
                     if await self._swap(message):
                         self._unsent.pop(proxy, None)
                 retry_at = self.clock.now() + SECOND // 5
+            await self._look_for_answers(now)
             due = self.channel.due()
             waits = [due - now] if due is not None else []
             waits += [retry_at - now] if self._unsent else []
@@ -280,13 +302,34 @@
             with trio.move_on_after(max(min(waits, default=SECOND), 0) / SECOND):
                 await self._woken.wait()
 
+    async def _look_for_answers(self, now: int) -> None:
+        """Files that nobody answered are put in place again: a late rename of another may lie over them."""
+        for proxy, (due, wait) in list(self._resend.items()):
+            if now < due:
+                continue
+            lies, presence = self._put.get(proxy, 0), self.intake.present.get(self._names[proxy])
+            shelf = self._shelves.get(proxy)
+            if shelf is None or presence is None or presence.applied >= lies:
+                del self._resend[proxy]
+                continue
+            self._resend[proxy] = (now + 2 * wait, min(2 * wait, 30 * SECOND))
+            try:
+                files, shelf.held = shelf.held, {}
+                if files:
+                    await trio.to_thread.run_sync(shelf.put, files)
+                    name = self._names[proxy]
+                    self.records.note(now, "again", proxy=name, message=lies)
+            except OSError:
+                continue  # the disk's trouble is told where orders are swapped
+
     async def _swap(self, message: Message) -> bool:
         """Puts a message in place.  True also if its proxy has left: it is nobody's any more."""
         proxy = message.proxy
         shelf, name = self._shelves.get(proxy), self._names.get(proxy, "")
         if shelf is None:
             return True
-        files = self.renderer.files(name, message.number, message.view, self._held[proxy], self._files[proxy])
+        term = self._terms_of[proxy]
+        files = self.renderer.files(term, message.number, message.view, self._held[proxy], self._files[proxy])
         try:
             if self.terms.files.durability == "none":
                 swapped = shelf.put(files)
@@ -302,6 +345,7 @@
         if proxy in self._marks:
             if swapped:
                 self._put[proxy] = message.number
+                self._resend.setdefault(proxy, (now + RESEND, RESEND))
             # where nothing that shows has changed, the answer to what lies there answers this too
             lies = self._put.get(proxy, 0)
             self._marks[proxy].append((lies, message.mark, message.ordered))
@@ -466,19 +510,28 @@
         else:
             files = {file: await self._read(name, file) for file in UP_FILES}
             found = {file: data for file, data in files.items() if data is not None}
+            try:
+                lies: dict[str, bytes] | None = read_group(f"{self.folder.down}/{name}")[1]
+            except OSError:
+                lies = None
             self._inodes[name] = inode
-            await self._send.send(partial(self._appeared, name, inode, found))
+            await self._send.send(partial(self._appeared, name, inode, found, lies))
 
-    def _appeared(self, name: str, inode: int, found: dict[str, bytes], now: int) -> None:
-        if self.intake.appeared(now, name, found):
+    def _appeared(
+        self, name: str, inode: int, found: dict[str, bytes], lies: dict[str, bytes] | None, now: int
+    ) -> None:
+        if self.intake.appeared(now, name, found, lies):
             self._inodes[name] = inode
         else:  # looked at again when it puts the next file in place
             self._inodes.pop(name, None)
 
     # The intake's ear.
 
-    def joined(self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held) -> None:
+    def joined(
+        self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held, term: int
+    ) -> None:
         now = self.clock.now()
+        self._terms_of[proxy] = term
         self._joins += 1
         self._names[proxy], self._held[proxy], self._files[proxy] = name, held, Files()
         series = f"{self.folder.epoch}-{self._joins}-"
@@ -489,9 +542,9 @@
             self._mode("disk", True, "files cannot be swapped", proxy=name, cause=str(fault))
         self._shelves[proxy], self._marks[proxy] = shelf, []
         hosts = {k: held.hosts(route.name) for k, route in enumerate(self.terms.routes)}
-        self.book.join(proxy, zone, hosts)
-        self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh)
-        self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh)
+        self.book.join(proxy, zone, hosts, rate)
+        self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh, term=term)
+        self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh, term=term)
         self.director.proxy_joined(now, proxy, zone, rate, fresh)
 
     def left(self, proxy: int, name: str, why: str) -> None:
@@ -499,7 +552,7 @@
         self.book.leave(proxy)
         self.channel.forget(proxy)
         books: tuple[dict[int, Any], ...] = (self._shelves, self._files, self._held, self._marks)
-        for known in (*books, self._unsent, self._put):
+        for known in (*books, self._unsent, self._put, self._resend):
             known.pop(proxy, None)
         self._inodes.pop(name, None)
         try:
--- a/willowhook/files/layout.py
+++ b/willowhook/files/layout.py
@@ -18,7 +18,7 @@
 from .ops import DiskOps, FileOps, remove
 from .swap import TEMP, clear_leftovers, read_at, swap_file
 
-LOCK, EPOCH, LIST, DOWN, UP = "lock", "epoch", "list", "down", "up"
+LOCK, EPOCH, LIST, DRAIN, DOWN, UP = "lock", "epoch", "list", "drain", "down", "up"
 LOAD, STATUS = "load.json", "status.json"
 PROXY_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}\Z")
 
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -71,7 +71,7 @@
     ) -> None:  # fmt: skip
         self.day, self.folder, self.how, self.say = day, folder, how, say
         self.command = list(director) or [sys.executable, "-m", "willowhook.cli"]
-        self.durability = durability
+        self.durability, self.fenced = durability, True
         folder.mkdir(parents=True, exist_ok=True)
         self.notes = Notes(str(folder / "stage.notes"))
         self.chance = random.Random(day.seed + 5)
@@ -185,7 +185,7 @@
                 plans, places, self.open_hosts(), day.routes, str(self.folder / f"proxies{part}.notes"),
                 day.seed + part, fleet.standing, fleet.pick, fleet.strikes, 4.0, fleet.dial_ms / 1000,
                 fleet.report_every_ms / 1000, day.director_lost_after_s, day.redial_s, day.calls_per_s,
-                fixed=self.how != "director",
+                fixed=self.how != "director", fenced=self.fenced, fleet=len(day.proxies),
             )  # fmt: skip
             if self.how == "standing":
                 orders = msgspec.structs.replace(orders, fixed=False, directors=[])
--- a/willowhook/trial/standin_proxy.py
+++ b/willowhook/trial/standin_proxy.py
@@ -26,7 +26,11 @@
 from ..files.follow import Followers
 from ..files.layout import DOWN, LOAD, STATUS, UP, last_beat
 from ..files.ops import DiskOps
-from ..files.swap import read_group, swap_file
+from ..files.swap import swap_file
+from ..membership.assign import order
+from ..membership.claim import APPLY, Claim, Version, VersionError, narrower, read_version
+from ..membership.spread import Home, Pace, dial_wait
+from ..membership.suspicion import Suspicion
 from ..web.wire import Broken, Call, Caller, Reply, answer_calls, dial
 from ..xds import forms, orca, tables
 from ..xds.codec import FormError, encode, read_response, seconds
@@ -60,6 +64,12 @@
     poll_s: float = 0.02
     fixed: bool = False  # no director: a table of all hosts, for a baseline
     refuse: float = 0.0  # share of groups that are refused, to try the director
+    fenced: bool = True  # False: terms and folders of before are not told apart, to show what that costs
+    fleet: int = 1  # proxies of all crews
+    joins_per_s: float = 200.0
+    settle_s: float = 3.0
+    stay_s: float = 5.0
+    beat_s: float = 0.2
 
 
 @dataclass(slots=True)
@@ -109,9 +119,15 @@
         self.asked_at = ticks()
         self.buckets: dict[str, tuple[object, Bucket]] = {}
         self.director: DirectorPlace | None = None
-        self.version = (0, 0)
+        self.state = f"{os.path.dirname(orders.notes)}/terms"
+        self.claim = Claim(self.last_term())
         self.versions: dict[str, tuple[str, str]] = {}  # by kind: version and nonce applied
-        self.floor = (0, 0)  # versions up to this were there before joining
+        self.avoided: dict[str, int] = {}  # directors that sent it away, until when
+        near = frozenset(place.name for place in orders.directors if place.zone == plan.zone)
+        names = order(plan.id, [place.name for place in orders.directors], near)
+        self.order = [place for name in names for place in orders.directors if place.name == name]
+        pace = Pace(orders.fleet, orders.joins_per_s, orders.settle_s, orders.stay_s)
+        self.pace, self.home = pace, Home(pace, names, self.chance.random)
         self.away_until = 0
         self.stand()
 
@@ -155,7 +171,14 @@
                     self.crew.later(caller.close)
                 side.idle.clear()
 
-    def take(self, files: dict[str, bytes]) -> None:
+    def last_term(self) -> int:
+        try:
+            with open(f"{self.state}/{self.plan.id}", "rb") as file:
+                return int(file.read())
+        except FileNotFoundError:
+            return 0
+
+    def take(self, place: DirectorPlace, files: dict[str, bytes]) -> None:
         """A group of files: applied whole, or refused and what was held stays."""
         kinds: dict[str, tuple[str, str]] = {}
         try:
@@ -165,8 +188,13 @@
                     continue
                 envelope = read_response(data, type_url)
                 kinds[kind] = (envelope.version_info, envelope.nonce)
-            newest = max((self.number(version) for version, _ in kinds.values()), default=(0, 0))
-            if newest <= max(self.version, self.floor):  # an older one, or of before it joined
+            versions = [read_version(version) for version, _ in kinds.values()]
+            newest = max(versions, default=Version(0, 0, 0))
+            verdict = self.claim.look(newest, self.o.fenced)
+            if verdict != APPLY:
+                if verdict != "old":
+                    self.crew.void += 1
+                    self.notes.note("void", p=self.plan.id, d=place.name, v=str(newest), why=verdict)
                 return
             if self.o.refuse and self.chance.random() < self.o.refuse:
                 raise FormError("refused by chance")
@@ -185,29 +213,25 @@
                 if cluster.eds_cluster_config.service_name not in assignments:
                     raise FormError(f"cluster {cluster.name!r} has no table")
                 tables.level_of(route.typed_per_filter_config)
-        except (FormError, IndexError) as fault:
+        except (FormError, VersionError, IndexError) as fault:
             self.crew.refused += 1
-            self.notes.note("refused", p=self.plan.id, d=self.name_of_director(), cause=str(fault))
+            self.notes.note("refused", p=self.plan.id, d=place.name, cause=str(fault))
             self.answer_config(kinds, str(fault) or "incomplete")
             return
         used = {clusters[route.route.cluster].eds_cluster_config.service_name for route in routes}
         self.assignments = {name: table for name, table in assignments.items() if name in used}
-        self.clusters, self.routes, self.version = clusters, routes, newest
+        self.clusters, self.routes = clusters, routes
+        self.claim.apply(newest)
         self.settle()
         self.crew.applied += 1
         held = {host for rows in self.lines.values() for host, _ in rows}
         usable = {name: len(rows) for name, rows in self.lines.items()}
-        self.notes.note("applied", p=self.plan.id, d=self.name_of_director(), v=newest, usable=usable,
-                        hosts=sorted(held))  # fmt: skip
+        told = {"v": [newest.epoch, newest.number], "term": self.claim.term, "hosts": sorted(held)}
+        self.notes.note("applied", p=self.plan.id, d=place.name, usable=usable, **told)
         self.answer_config(kinds, "")
-
-    @staticmethod
-    def number(version: str) -> tuple[int, int]:
-        epoch, _, number = version.partition(".")
-        try:
-            return int(epoch), int(number)
-        except ValueError as fault:
-            raise FormError(f"version_info is {version[:40]!r}") from fault
+        if "directors" in assignments and self.director is not None:  # it drains
+            self.avoided[self.director.name] = ticks() + round(self.o.stay_s * 2 * SECOND)
+            self.leave("sent away")
 
     def name_of_director(self) -> str:
         return self.director.name if self.director else ""
@@ -215,10 +239,12 @@
     # What it says.
 
     def node(self) -> forms.Node:
-        usual = self.o.usual_calls_per_s * self.plan.share
-        return forms.Node(
-            self.plan.id, "calls", forms.Locality(zone=self.plan.zone), {"usual_calls_per_s": usual}
-        )
+        told = {
+            "usual_calls_per_s": self.o.usual_calls_per_s * self.plan.share,
+            "director": self.claim.director,
+            "term": self.claim.term,
+        }
+        return forms.Node(self.plan.id, "calls", forms.Locality(zone=self.plan.zone), told)
 
     def request(self, kind: str, version: str, nonce: str, fault: str) -> bytes:
         detail = forms.Status(3, fault) if fault else None
@@ -291,50 +317,55 @@
     def reachable(self, place: DirectorPlace) -> bool:
         if self.crew.unreachable(self.plan.zone, place.zone) or ticks() < self.away_until:
             return False
-        return time.time() - last_beat(place.folder) < self.o.lost_after_s
+        return self.crew.alive(place.name) and self.avoided.get(place.name, 0) <= ticks()
 
     def join(self, place: DirectorPlace) -> None:
+        """The new term is on disk before anybody is told of it."""
         up = f"{place.folder}/{UP}"
         temp, home = f"{up}/.{self.plan.id}", f"{up}/{self.plan.id}"
-        self.floor = (0, 0)
-        try:
-            for kind in read_group(f"{place.folder}/{DOWN}/{self.plan.id}")[1].items():
-                envelope = read_response(kind[1], forms.FILES[kind[0][:-5]])
-                self.floor = max(self.floor, self.number(envelope.version_info))
-        except (OSError, FormError, KeyError):
-            pass
+        standing = all(name == "standing" for name in self.assignments)
+        before = self.claim.applied
+        term = self.claim.next_term()
+        os.makedirs(self.state, exist_ok=True)
+        swap_file(DiskOps(), self.state, self.plan.id, b"%d" % term, "file")
+        self.claim.join(place.name, term)
         shutil.rmtree(temp, ignore_errors=True)
         shutil.rmtree(home, ignore_errors=True)
         os.mkdir(temp)
         files = {STATUS: self.status()}
-        if not all(name == "standing" for name in self.assignments):
-            said = f"{self.version[0]}.{self.version[1]}"
+        if not standing:
+            said = str(before) if before else "0.0.0"
             files |= {f"{kind}.json": self.request(kind, said, "", "") for kind in forms.FILES}
         for name, data in files.items():
             swap_file(DiskOps(), temp, name, data)
-        self.version, self.versions = (0, 0), {}
+        self.versions = {}
         os.rename(temp, home)
         self.director = place
-        self.notes.note("joined", p=self.plan.id, d=place.name)
+        self.home.joined(ticks() / SECOND)
+        self.notes.note("joined", p=self.plan.id, d=place.name, term=term)
         self.report()
-        self.crew.followers.follow(self.plan.id, f"{place.folder}/{DOWN}", self.plan.id)
+        self.crew.follow(self.plan.id, place)
 
     def leave(self, why: str) -> None:
         if self.director is None:
             return
         place, self.director = self.director, None
-        self.crew.followers.drop(self.plan.id)
+        self.claim.leave()
+        if self.o.fenced:
+            self.crew.unfollow(self.plan.id, place)
         self.notes.note("left", p=self.plan.id, d=place.name, why=why)
         if not self.crew.unreachable(self.plan.zone, place.zone):  # else nothing of it gets there
             shutil.rmtree(f"{place.folder}/{UP}/{self.plan.id}", ignore_errors=True)
 
     async def keep(self) -> None:
-        """Joined to one director as long as it shows life, then to another; the own zone's first."""
-        places = self.o.directors
-        order = sorted(places, key=lambda place: (place.zone != self.plan.zone, self.chance.random()))
+        """Joined to one director as long as it shows life, then to another; back when that pays."""
+        share = self.plan.share * self.o.fleet
         while True:
+            now = ticks() / SECOND
+            for place in self.order:
+                self.home.shown(place.name, self.reachable(place), now)
             if self.director is None:
-                for place in order:
+                for place in self.order:
                     if self.reachable(place):
                         try:
                             self.join(place)
@@ -347,7 +378,11 @@
                     continue
             elif not self.reachable(self.director):
                 self.leave("no sign of life")
-                await trio.sleep(self.o.redial_s * (0.5 + self.chance.random()))
+                wait = dial_wait(self.pace, share, self.chance.random)
+                await trio.sleep(wait + self.o.redial_s * (0.5 + self.chance.random()))
+            elif self.home.better(self.director.name, now):
+                self.leave("goes back")
+                continue
             await trio.sleep(0.05)
 
     async def tell(self) -> None:
@@ -402,15 +437,21 @@
                     if not tried:
                         self.notes.note("no_host", p=self.plan.id, c=attempt, r=row.name)
                     return reply
+                # of the order at its start and that of now, the narrower
+                tries = narrower(tries, self.tries_now(row.name))
                 again = len(tried) < (1 if tries == 1 else max(tries - 1, 0))
                 tried.append(host)
                 reply, proof = await self.try_at(row, cluster, host, call, patience if again else math.inf)
-                if reply.status < 500 or not again or (tries == 1 and not proof):
+                tries = narrower(tries, self.tries_now(row.name))
+                if reply.status < 500 or not again or not tries or (tries == 1 and not proof):
                     return reply
         if limit.cancelled_caught:
             return Reply(504, [(b"retry-after", b"1")], b"time limit")
         return reply
 
+    def tries_now(self, name: str) -> int:
+        return next((tables.tries_of(row.route.retry_policy) for row in self.routes if row.name == name), 0)
+
     def pick(self, row: forms.Route, lb_policy: str, tried: list[str]) -> str | None:
         now = ticks()
         lines = self.lines.get(row.name, [])
@@ -483,7 +524,7 @@
                 pair = sums.told.setdefault(name, [0.0, 0])
                 pair[0] += value
                 pair[1] += 1
-            parts = {"p": self.plan.id, "c": attempt, "r": row.name, "h": host}
+            parts = {"p": self.plan.id, "c": attempt, "r": row.name, "h": host, "term": self.claim.term}
             self.notes.note("try", **parts, began=began, sent=sent, out=out, proof=proof)
         return reply, proof
 
@@ -496,13 +537,38 @@
         self.chance = random.Random(orders.seed)
         self.cut: list[str] = []
         self.lossy: dict[tuple[str, str], float] = {}  # proxy and host: share of tries that get nowhere
-        self.applied = self.refused = 0
+        self.applied = self.refused = self.void = 0
         self.followers = Followers(orders.watch, orders.poll_s, self.seen)
+        self.places = {place.name: place for place in orders.directors}
+        most = orders.lost_after_s
+        self.signs = {name: Suspicion(orders.beat_s, most / 2, most) for name in self.places}
+        self.beats: dict[str, float] = {}
         self.proxies = {plan.id: StandInProxy(orders, plan, self) for plan in orders.proxies}
         self.scopes: dict[str, trio.CancelScope] = {}
 
-    def seen(self, proxy: str, files: dict[str, bytes]) -> None:
-        self.proxies[proxy].take(files)
+    def seen(self, key: str, files: dict[str, bytes]) -> None:
+        proxy, _, director = key.partition("|")
+        self.proxies[proxy].take(self.places[director], files)
+
+    def follow(self, proxy: str, place: DirectorPlace) -> None:
+        self.followers.follow(f"{proxy}|{place.name}", f"{place.folder}/{DOWN}", proxy)
+
+    def unfollow(self, proxy: str, place: DirectorPlace) -> None:
+        self.followers.drop(f"{proxy}|{place.name}")
+
+    def alive(self, director: str) -> bool:
+        return director in self.beats and not self.signs[director].suspected(ticks() / SECOND)
+
+    async def look_for_life(self) -> None:
+        """The signs of life of all directors, whoever follows them."""
+        while True:
+            now = ticks() / SECOND
+            for name, place in self.places.items():
+                beat = last_beat(place.folder)
+                if beat != self.beats.get(name) and time.time() - beat < self.o.lost_after_s:
+                    self.beats[name] = beat
+                    self.signs[name].heard(now)
+            await trio.sleep(self.o.beat_s / 4)
 
     def unreachable(self, one: str, other: str) -> bool:
         return one != other and (one in self.cut or other in self.cut)
@@ -536,7 +602,8 @@
                 self.scopes.pop(name).cancel()
                 proxy = self.proxies[name]
                 self.notes.note("died", p=name)
-                self.followers.drop(name)
+                for place in self.o.directors:
+                    self.unfollow(name, place)
                 proxy.director = None  # its folder stays, as a process that dies leaves it
 
     def start(self, proxies: list[str], hosts: list[tuple[str, str, int, str]]) -> None:
@@ -565,6 +632,7 @@
             nursery.start_soon(self.notes.run)
             if not self.o.fixed:
                 nursery.start_soon(self.followers.run)
+                nursery.start_soon(self.look_for_life)
             for proxy in self.proxies.values():
                 nursery.start_soon(self.live, proxy)
             print("ready", flush=True)
--- a/willowhook/xds/forms.py
+++ b/willowhook/xds/forms.py
@@ -44,8 +44,15 @@
     port_value: int = 0
 
 
+class Pipe(Form):
+    path: str = ""
+
+
 class Address(Form):
-    socket_address: SocketAddress
+    """One of the two."""
+
+    socket_address: SocketAddress | None = None
+    pipe: Pipe | None = None
 
 
 class Endpoint(Form):
--- a/willowhook/xds/tables.py
+++ b/willowhook/xds/tables.py
@@ -50,7 +50,7 @@
     for group in table.endpoints:
         for row in group.lb_endpoints:
             at = row.endpoint.address.socket_address
-            if not at.address or not 0 < at.port_value < 65536:
+            if at is None or not at.address or not 0 < at.port_value < 65536:
                 raise FormError(f"{table.cluster_name}: {row.endpoint.hostname!r} has no address")
             if not 0 < row.load_balancing_weight <= MOST:
                 raise FormError(f"{table.cluster_name}: {row.endpoint.hostname!r} has no weight")
