--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -105,3 +105,50 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command()
+@click.option("--kills", type=click.IntRange(1, 10_000), default=200, show_default=True)
+@click.option(
+    "--every", type=click.FloatRange(0.2, 60), default=1.0, show_default=True, help="Seconds between."
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--directors", type=click.IntRange(1, 20), default=2, show_default=True)
+@click.option("--proxies", type=click.IntRange(1, 2000), default=8, show_default=True)
+@click.option(
+    "--fence/--no-fence", default=True, show_default=True, help="Whether proxies look at terms and folders."
+)
+@click.option("--folder", type=click.Path(), default="")
+def takeover(
+    kills: int, every: float, seed: int, directors: int, proxies: int, fence: bool, folder: str
+) -> None:
+    """Kill, stop and start directors over and over; nothing may take effect twice."""
+    import tempfile
+
+    from ..trial.takeover import takeover as run
+
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = run(seed, kills, every, root, click.echo, fence, directors=directors, proxies=proxies)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
+
+
+@trial.command()
+@click.option("--proxies", type=click.IntRange(1, 3), default=1, show_default=True)
+@click.option("--directors", type=click.IntRange(1, 4), default=2, show_default=True)
+@click.option("--terms", type=click.IntRange(1, 4), default=3, show_default=True)
+@click.option("--orders", type=click.IntRange(1, 3), default=2, show_default=True)
+@click.option("--kills", type=click.IntRange(0, 3), default=1, show_default=True)
+@click.option(
+    "--without", default="", help="Take a guard away: term, order, name, folder, or several with +."
+)
+def claims(proxies: int, directors: int, terms: int, orders: int, kills: int, without: str) -> None:
+    """Explore all that can happen between few proxies and directors, and check who rules."""
+    from ..membership.explore import Bounds, explore
+
+    done = explore(Bounds(proxies, directors, terms, orders, kills), without)
+    click.echo(f"{done.worlds} worlds, {done.steps} steps; {done.broken or 'all invariants hold'}")
+    for row in done.path:
+        click.echo(f"  {row}")
+    sys.exit(1 if done.broken else 0)
--- a/willowhook/membership/claim.py
+++ b/willowhook/membership/claim.py
@@ -77,7 +77,10 @@
         self.director = ""
 
     def look(self, version: Version, fenced: bool = True) -> str:
-        return judge(self.term, self.applied, version, fenced)
+        """What to do with an order; unfenced, as a plain reader would, whatever is new there is applied."""
+        if not fenced:
+            return OLD if version == self.applied else APPLY
+        return judge(self.term, self.applied, version)
 
     def apply(self, version: Version) -> None:
         self.applied = version
