A proxy that comes again in a folder of the same number is seen

Cause: on seed 6 of twenty a killed proxy came back at once, its new folder was given the inode of the old one, and the director took it for the same stay without a watch: it gave the proxy up as silent, withdrew nothing, and a drain was kept 1.0 s too late. Change: a stay is told by the folder and by its status file, the watch is set anew each time, and a file read once is not counted again.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,6 +5,7 @@
 import json
 import os
 import resource
+import shutil
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -186,6 +187,28 @@
 
 
 OF_BAD = forms.Node("bad", metadata={"term": 1})
+
+
+def test_a_proxy_that_comes_again_in_a_folder_of_the_same_number_is_seen(tmp_path: Path) -> None:
+    """Found by a bad day: a folder was given the number of the one before, and the proxy was never bound
+    again.
+    """
+
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: len(one.hosts()) == 3)
+        for k in range(2, 12):
+            shutil.rmtree(one.up)
+            one.node.metadata["term"] = k
+            one.join()
+            await until(lambda k=k: [p.term for p in service.intake.present.values()] == [k])  # type: ignore[misc]
+            one.load()
+            await until(lambda: bool(one.hosts()))
+
+    serve(tmp_path, play)
+
+
 BAD = {
     "truncated": b'{"node": {"id": "bad"',
     "huge": b" " * (2 << 20),
--- a/willowhook/cli/commands.py
+++ b/willowhook/cli/commands.py
@@ -9,9 +9,13 @@
 import json
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
+if TYPE_CHECKING:
+    from ..config.terms import Terms
+
 
 @click.group()
 @click.version_option(package_name="willowhook", version="0.2.0")
@@ -19,7 +23,7 @@
     """A director of plain proxies: it publishes their tables as files that are swapped whole."""
 
 
-def load_terms(path: str):  # type: ignore[no-untyped-def]
+def load_terms(path: str) -> Terms:
     from ..config.check import TermsError, read_terms
 
     try:
@@ -32,18 +36,53 @@
     sys.exit(2)
 
 
-@main.command()
-@click.option(
-    "--config", "path", required=True, type=click.Path(), help="The director's configuration, JSON."
-)
+@main.group(invoke_without_command=True)
+@click.option("--config", "path", type=click.Path(), default="", help="The director's configuration, JSON.")
 @click.option("--log-format", type=click.Choice(["console", "json"]), default="console", show_default=True)
-def director(path: str, log_format: str) -> None:
-    """Run one director until SIGTERM."""
+@click.pass_context
+def director(context: click.Context, path: str, log_format: str) -> None:
+    """Run one director until SIGTERM; or act on one that runs."""
+    if context.invoked_subcommand is not None:
+        return
+    if not path:
+        raise click.UsageError("--config FILE is missing")
     from ..director.main import run
 
     sys.exit(run(load_terms(path), log_format))
 
 
+@director.command()
+@click.option("--config", "path", required=True, type=click.Path(), help="Its configuration.")
+@click.option("--undo", is_flag=True, help="Let proxies come again.")
+@click.option("--wait", "wait_s", type=click.FloatRange(0, 86_400), default=0.0, help="Seconds until empty.")
+def drain(path: str, undo: bool, wait_s: float) -> None:
+    """Hand a running director's proxies to others, one by one.  Exit code 1 if some are left after --wait."""
+    import time
+
+    from ..files.layout import DRAIN, UP
+    from ..files.ops import DiskOps, remove
+    from ..files.swap import swap_file
+
+    folder = Path(load_terms(path).files.folder).absolute()
+    if not (folder / UP).is_dir():
+        click.echo(f"{folder}: no director has run here", err=True)
+        sys.exit(2)
+    if undo:
+        remove(DiskOps(), str(folder / DRAIN))
+        click.echo("no longer draining")
+        return
+    swap_file(DiskOps(), str(folder), DRAIN, b"")
+
+    def left() -> int:
+        return sum(not row.name.startswith(".") for row in (folder / UP).iterdir())
+
+    end = time.monotonic() + wait_s
+    while left() and time.monotonic() < end:
+        time.sleep(0.1)
+    click.echo(f"draining; {left()} proxies are left")
+    sys.exit(1 if left() and wait_s else 0)
+
+
 @main.group()
 def config() -> None:
     """Configurations of a director."""
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -121,7 +121,8 @@
         self._marks: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: message, mark, when ordered
         self._put: dict[int, int] = {}  # by proxy: the message whose files lie there
         self._known: dict[str, Address] = {}  # of all hosts ever listed
-        self._inodes: dict[str, int] = {}  # of the folders of proxies that are here
+        self._stays: dict[str, tuple[int, ...]] = {}  # of the proxies that are here
+        self._read_marks: dict[tuple[str, str], tuple[int, int]] = {}  # of the files read last
         self._modes: dict[str, bool] = {}
         self._noted_at = 0
         self._nursery: trio.Nursery | None = None
@@ -463,12 +464,12 @@
                 elif file:
                     await self._came(file)
                 else:  # some news was lost
-                    for name in dict.fromkeys([*self.ops.listdir(up), *self._inodes]):
+                    for name in dict.fromkeys([*self.ops.listdir(up), *self._stays]):
                         await self._came(name)
 
     async def _news(self, name: str, file: str) -> None:
         """One file of one proxy; all of them if some news was lost."""
-        if name not in self._inodes:
+        if name not in self._stays:
             await self._came(name)  # it had been given up, or had not shown itself whole
             return
         for each in [file] if file else UP_FILES:
@@ -480,8 +481,15 @@
         self.intake.swapped(now, name, file, data)
 
     async def _read(self, name: str, file: str) -> bytes | None:
+        """A file that was not read yet; one that was is no news, however often it is looked at."""
+        path = f"{self.folder.up}/{name}/{file}"
         try:
-            return read_at(None, f"{self.folder.up}/{name}/{file}", self.terms.files.largest_report_bytes)
+            mark = self._mark_of(path)
+            if self._read_marks.get((name, file)) == mark:
+                return None
+            data = read_at(None, path, self.terms.files.largest_report_bytes)
+            self._read_marks[name, file] = mark
+            return data
         except (FileNotFoundError, NotADirectoryError):
             return None
         except OSError as fault:
@@ -489,41 +497,66 @@
             await self._send.send(lambda now: self.intake.unreadable(name, file, cause))
             return None
 
+    @staticmethod
+    def _mark_of(path: str) -> tuple[int, int]:
+        at = os.lstat(path)
+        return at.st_ino, at.st_mtime_ns
+
+    def _stay_of(self, name: str) -> tuple[int, ...]:
+        """What tells one stay of a proxy from the next: folders are given the numbers of those that went."""
+        path = f"{self.folder.up}/{name}"
+        at = os.lstat(path)
+        if not stat.S_ISDIR(at.st_mode):
+            return ()
+        try:
+            return at.st_ino, *self._mark_of(f"{path}/{STATUS}")
+        except OSError:
+            return (at.st_ino,)
+
     async def _came(self, name: str) -> None:
         """A folder came, or went, or both, or was there all the time."""
         if not PROXY_NAME.match(name):
             return
-        path = f"{self.folder.up}/{name}"
         try:
-            at = os.lstat(path)
-            inode = at.st_ino if stat.S_ISDIR(at.st_mode) else 0
-            if inode and self._inodes.get(name) != inode:
-                self._watch.add(path, name)
+            stay = self._stay_of(name)
+            if stay:  # also one that was watched: the watch may have gone with a folder of the same name
+                self._watch.add(f"{self.folder.up}/{name}", name)
         except OSError:
-            inode = 0
-        if not inode:
+            stay = ()
+        if not stay:
             self._watch.drop(name)
-            self._inodes.pop(name, None)
+            self._forget_stay(name)
             await self._send.send(lambda now: self.intake.gone(now, name, "its folder is gone"))
-        elif self._inodes.get(name) == inode:
+        elif self._stays.get(name) == stay:
             await self._news(name, "")
         else:
+            self._forget_stay(name)
             files = {file: await self._read(name, file) for file in UP_FILES}
             found = {file: data for file, data in files.items() if data is not None}
             try:
                 lies: dict[str, bytes] | None = read_group(f"{self.folder.down}/{name}")[1]
             except OSError:
                 lies = None
-            self._inodes[name] = inode
-            await self._send.send(partial(self._appeared, name, inode, found, lies))
+            self._stays[name] = stay
+            await self._send.send(partial(self._appeared, name, stay, found, lies))
+
+    def _forget_stay(self, name: str) -> None:
+        self._stays.pop(name, None)
+        for file in UP_FILES:
+            self._read_marks.pop((name, file), None)
 
     def _appeared(
-        self, name: str, inode: int, found: dict[str, bytes], lies: dict[str, bytes] | None, now: int
+        self,
+        name: str,
+        stay: tuple[int, ...],
+        found: dict[str, bytes],
+        lies: dict[str, bytes] | None,
+        now: int,
     ) -> None:
         if self.intake.appeared(now, name, found, lies):
-            self._inodes[name] = inode
+            self._stays[name] = stay
         else:  # looked at again when it puts the next file in place
-            self._inodes.pop(name, None)
+            self._forget_stay(name)
 
     # The intake's ear.
 
@@ -554,7 +587,7 @@
         books: tuple[dict[int, Any], ...] = (self._shelves, self._files, self._held, self._marks)
         for known in (*books, self._unsent, self._put, self._resend):
             known.pop(proxy, None)
-        self._inodes.pop(name, None)
+        self._forget_stay(name)
         try:
             remove(self.ops, f"{self.folder.down}/{name}")
         except OSError as fault:
--- a/willowhook/trial/badday.py
+++ b/willowhook/trial/badday.py
@@ -55,7 +55,10 @@
     for name, other in done.baselines.items():
         lines.append(f"beside {name}: {other.service:.3f} (worst ten seconds {other.worst:.3f})")
     for name, use in sorted(got.directors.items()):
-        lines.append(f"{name}: {use['cpu_s']:.1f} s of CPU, {use['rss_mb']:.0f} MB")
+        lines.append(
+            f"{name}: {use['cpu_s']:.1f} s of CPU, {use['rss_mb']:.0f} MB, {use['messages']:.0f} messages;"
+        )
+        lines[-1] += f" order to file median {use['median_ms']:.0f} ms, p99 {use['p99_ms']:.0f} ms"
     verdict = "all rules kept" if got.kept else "RULES BROKEN"
     return [*lines, f"seed {done.seed}: {verdict}; records in {done.folder}"]
 
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -25,6 +25,7 @@
 import trio
 
 from ..config.facts import ticks as ms_ticks
+from ..files.layout import DRAIN
 from .day import ZONES, Day, HostPlan, Trouble, terms_of
 from .judge import Judge, Limits, Verdict
 from .notes import SECOND, Notes, read_notes, ticks
@@ -313,7 +314,17 @@
             ms_ticks(day.channel.messages_over_ms), routes, windows,
         )  # fmt: skip
 
+    def note_delays(self) -> None:
+        """From an order to its file in place, and the longest queue, by each director's own record."""
+        for path in sorted(self.folder.glob("director-*.records")):
+            rows = [row for row in Judge.lines(path) if row["kind"] == "sent"]
+            took = sorted(row["after"] / 10 for row in rows) or [0.0]
+            book = self.usage.setdefault(path.stem, {"cpu_s": 0.0, "rss_mb": 0.0})
+            book["messages"], book["median_ms"] = len(rows), took[len(took) // 2]
+            book["p99_ms"] = took[int(len(took) * 0.99)]
+
     def outcome(self, day: Day) -> Outcome:
+        self.note_delays()
         verdicts = Judge(self.folder, self.limits(), self.zero).judge() if self.how == "director" else []
         calls = [row for path in self.folder.glob("clients*.notes") for row in read_notes(str(path))]
         routes = {route.name: route for route in day.routes}
@@ -466,6 +477,15 @@
             await trio.sleep(row.for_s)
             self.start_director(rank)
 
+    async def strike_director_drained(self, row: Trouble) -> None:
+        """An operator hands a director's proxies to the others, and lets them come again later."""
+        if self.directors:
+            place = f"{self.director_folder(self.chance.choice(sorted(self.directors)))}/{DRAIN}"
+            with open(place, "wb"):
+                self.notes.note("drain", d=place.split("/")[-2])
+            await trio.sleep(row.for_s)
+            os.unlink(place)
+
     async def strike_disk_full(self, row: Trouble) -> None:
         """No file of a director can grow: each write fails as on a full disk."""
         if self.directors:
