--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,6 +24,7 @@
     safe_tries,
 )  # fmt: skip
 from willowhook.membership.explore import GUARDS, Bounds, explore
+from willowhook.membership.handoff import Hint, Listener, Packet, Teller
 from willowhook.membership.spread import Home, Pace, dial_wait
 from willowhook.membership.suspicion import Suspicion
 from willowhook.membership.wheel import Wheel
@@ -228,3 +229,63 @@
         if went := home.better("b", tick / 10):
             break
     assert went == "a" and 43.0 <= tick / 10 <= 47.2
+
+
+def packets(count: int) -> list[Packet]:
+    return [Packet("a", 1, k, Hint(f"p{k % 3}", k, 10, {"h": (k + 1, 0, 5)})) for k in range(count)]
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.integers(0, 8), max_size=60), st.lists(st.integers(0, 60), max_size=6))
+def test_a_listener_knows_the_newest_of_each_proxy_whatever_the_link_does(
+    arrive: list[int], ask: list[int]
+) -> None:
+    """Any packets, in any order, any number of times."""
+    listener, sent, given_out = Listener(1000), packets(9), dict[str, int]()
+    heard: dict[str, int] = {}
+    for k, at in enumerate(arrive):
+        listener.take(0, sent[at])
+        proxy, term = sent[at].hint.proxy, sent[at].hint.term
+        if term > given_out.get(proxy, -1):
+            heard[proxy] = max(heard.get(proxy, -1), term)
+        if k in ask:
+            hint = listener.claim(10, proxy, 100)
+            newest = heard.pop(proxy, None)
+            assert (hint.term if hint else None) == newest
+            if newest is not None:
+                given_out[proxy] = newest
+            assert listener.claim(10, proxy, 100) is None  # once
+
+
+def test_a_hint_of_a_later_stay_or_of_long_ago_is_of_no_use() -> None:
+    listener = Listener(1000)
+    late = Packet("a", 1, 1, Hint("p", 7, 10, {}))
+    listener.take(0, late)
+    assert listener.claim(10, "p", 7) is None  # not before its stay
+    listener.take(0, Packet("a", 1, 2, Hint("p", 8, 10, {})))
+    assert listener.claim(1001, "p", 9) is None
+    listener.take(2000, late)  # doubled, after it was given out
+    assert listener.claim(2001, "p", 10) is None
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.booleans(), max_size=12))
+def test_a_teller_goes_on_until_answered_and_not_for_ever(lost: list[bool]) -> None:
+    sent: list[Packet] = []
+    teller = Teller("a", 3, sent.append, 100, 3000)
+    teller.tell(0, Hint("p", 1, 10, {}))
+    seen = 0
+    for now in range(0, 4000, 50):
+        teller.look(now)
+        for packet in sent[seen:]:
+            seen += 1
+            if seen <= len(lost) and not lost[seen - 1]:
+                teller.answered(2, packet.number)  # of another start: no answer
+                teller.answered(3, packet.number)
+    assert len(teller) == 0 and 1 <= len(sent) <= 6
+    first_kept = next((k for k, gone in enumerate(lost) if not gone), None)
+    if first_kept is not None and first_kept < 5:
+        assert len(sent) == first_kept + 1
+    teller.tell(5000, Hint("p", 2, 10, {}))
+    teller.tell(5001, Hint("p", 3, 10, {}))
+    assert len(teller) == 1  # the newer is all that is of use
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -112,7 +112,7 @@
 Play = Callable[[Service, Roster, Log], Awaitable[None]]
 
 
-def serve(tmp_path: Path, play: Play, **parts: Any) -> Log:
+def serve(tmp_path: Path, play: Play, listen: str = "", **parts: Any) -> Log:
     """Runs a director while `play` goes on."""
     log = Log()
 
@@ -132,7 +132,16 @@
             )
             asked = replace(EXAMPLE.roster, url=url, wait_ms=300, timeout_ms=200)
             kept = replace(EXAMPLE.records, file=str(tmp_path / "records"))
-            service = Service(replace(EXAMPLE, files=files, roster=asked, records=kept), log=log)
+            service = Service(
+                replace(
+                    EXAMPLE,
+                    files=files,
+                    roster=asked,
+                    records=kept,
+                    links=replace(EXAMPLE.links, listen=listen),
+                ),
+                log=log,
+            )
             await nursery.start(service.run)
             with trio.fail_after(30):
                 await play(service, roster, log)
@@ -337,3 +346,53 @@
         file.write(b'{"t":1,"kin')
     rows = read_records(str(path))
     assert [row.get("n", row.get("records")) for row in rows] == [0, 1, 2, 2, None] and time.time() > 0
+
+
+def test_two_directors_with_a_link_hand_on_what_was_met(tmp_path: Path) -> None:
+    """The proxy goes from one to the other; what it met is heard there, and only by who it comes to."""
+
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        replace = msgspec.structs.replace
+        links = replace(service.terms.links, peers=(f"http://127.0.0.1:{service.link_port}",))
+        files = replace(service.terms.files, folder=str(tmp_path / "other"))
+        other = Service(replace(service.terms, name="other", files=files, links=links), log=Log())
+        async with trio.open_nursery() as nursery:
+            await nursery.start(other.run)
+            one = ByHand(other, "p1")
+            one.join()
+            await until(lambda: len(one.hosts()) == 3)
+            at = forms.Address(forms.SocketAddress("127.0.0.1", 9001))
+            row = forms.UpstreamEndpointStats(
+                at, 8, 0, 2, 10, [forms.LoadMetricStats("latency_seconds", 8, 4.0)]
+            )
+            zone = forms.UpstreamLocalityStats(upstream_endpoint_stats=[row])
+            stats = forms.ClusterStats("load@t0", "", [zone], load_report_interval="1s")
+            one.put("load.json", encode(forms.LoadStatsRequest(one.node, [stats])))
+            await until(lambda: bool(other._met))
+            shutil.rmtree(one.up)
+            await until(lambda: bool(service._hints._hints) and "b" in service.director.hosts)
+            now = service.clock.now()
+            assert service.director.hosts["b"].heard.total(now, 4) == [0, 0, 0]
+            moved = ByHand(service, "p1")
+            moved.node.metadata["term"] = 2
+            moved.join()
+            await until(lambda: len(moved.hosts()) == 3)
+            heard = service.director.hosts["b"].heard.total(service.clock.now(), 4)
+            assert heard == [10, 2, 8 * 5000]
+            await until(lambda: len(other._tellers[0]) == 0)
+            nursery.cancel_scope.cancel()
+
+    serve(tmp_path, play, listen="127.0.0.1:0")
+
+
+def test_a_link_that_talks_nonsense_is_told_once(tmp_path: Path) -> None:
+    from willowhook.director.links import Post
+
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        post = Post(f"http://127.0.0.1:{service.link_port}", 1.0)
+        for body in (b"", b"{}", b"\xff" * 300, b'{"node": {"id": "p", "metadata": {"director": 3}}}'):
+            assert not await post.send(body)
+        assert not await Post("http://127.0.0.1:1", 0.2).send(b"{}")
+
+    log = serve(tmp_path, play, listen="127.0.0.1:0")
+    assert log.texts("warning") == ["a peer tells what cannot be read"]
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -69,15 +69,17 @@
     kinds: tuple[str, ...], seed: int, length: float, hosts: int, proxies: int, directors: int, calls: float,
     folder: str,
 ) -> None:  # fmt: skip
-    """Let these KINDS of trouble strike the real director, one after the other."""
+    """Let these KINDS of trouble strike the real director, one after the other; the bench's names do too."""
     import tempfile
 
     from ..trial import badday as days
     from ..trial.stage import TROUBLES
 
+    kinds = tuple(days.BENCH.get(kind, kind) for kind in kinds)
     unknown = [kind for kind in kinds if kind not in TROUBLES and kind != "none"]
     if unknown:
-        raise click.BadParameter(f"{', '.join(unknown)}: known are none, {', '.join(TROUBLES)}")
+        known = ", ".join(["none", *TROUBLES, *days.BENCH])
+        raise click.BadParameter(f"{', '.join(unknown)}: known are {known}")
     names = [kind for kind in kinds if kind != "none"]
     size = {"hosts": hosts, "proxies": proxies, "directors": directors, "calls_per_s": calls}
     day = days.replay_day(names, seed, length, **size)
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -115,6 +115,15 @@
     most_waiting: Annotated[int, Meta(ge=100, le=1_000_000)] = 20_000
 
 
+class LinkTerms(Part, frozen=True, kw_only=True):
+    """Links between directors, where an installation allows them; none is needed."""
+
+    listen: Annotated[str, Meta(pattern=r"^$|^[^: ]+:[0-9]+$")] = ""  # ADDRESS:PORT
+    peers: tuple[Annotated[str, Meta(pattern=r"^http://[^/ ]+$")], ...] = ()
+    timeout_ms: Positive = 500
+    lasts_ms: Positive = 10_000  # a hint is of use for so long
+
+
 class Terms(Part, frozen=True, kw_only=True):
     """Everything that one director is told at its start."""
 
@@ -131,3 +140,4 @@
     rules: RuleTerms
     fleet: FleetTerms
     records: RecordTerms = RecordTerms()
+    links: LinkTerms = LinkTerms()
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -23,18 +23,23 @@
 from ..files.ops import DiskOps, FileOps, remove
 from ..files.swap import Shelf, read_at, read_group, swap_file
 from ..files.watch import Watch, open_watch
+from ..membership.handoff import Hint, Listener, Packet, Teller
 from ..records.writer import Records
 from ..roster.forms import Host, RosterError, read_hosts
 from ..roster.reader import Roster
 from ..rules import Director
+from ..state import Ring
 from ..web.wire import Broken, Caller, dial
 from ..xds import orca
+from ..xds.codec import FormError
 from .book import Message, OrderBook
 from .channel import Channel
 from .intake import REQUESTS, Intake
+from .links import Post, listen, read, write
 from .render import Address, Files, Held, Renderer
 
 SECOND = 10_000
+MET_BUCKETS = 5  # seconds of what was met, that are handed on
 MOST_PROBES = 500  # at once
 RESEND = 2 * SECOND  # files that are not answered by then are put in place again
 START = 100_000 * SECOND  # of this clock: hosts may have started before the machine's own clock did
@@ -117,6 +122,13 @@
         self._terms_of: dict[int, int] = {}  # of each proxy's stay
         self._resend: dict[int, tuple[int, int]] = {}  # by proxy: when to look for its answer, and the wait
         self._draining = False
+        self._met: dict[int, dict[str, Ring]] = {}  # by proxy and host: tries, errors, time of the answered
+        links = terms.links
+        lasts = ticks(links.lasts_ms)
+        self._hints = Listener(lasts)
+        self._posts = [Post(url, links.timeout_ms / 1000) for url in links.peers]
+        self._tellers: list[Teller] = []
+        self.link_port = 0
         self._unsent: dict[int, Message] = {}  # whose swap failed: the newest, which holds all
         self._marks: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: message, mark, when ordered
         self._put: dict[int, int] = {}  # by proxy: the message whose files lie there
@@ -156,6 +168,12 @@
                 nursery.start_soon(self._publish)
                 nursery.start_soon(self._read_proxies)
                 nursery.start_soon(self._decide)
+                for k in range(len(self._posts)):
+                    first, lasts = SECOND // 5, ticks(terms.links.lasts_ms)
+                    self._tellers.append(Teller(terms.name, epoch, partial(self._hand_on, k), first, lasts))
+                if terms.links.listen:
+                    port: Any = await nursery.start(listen, terms.links, self._handed)
+                    self.link_port = int(port)
                 task_status.started()
         finally:
             self.log.info("ended", queue_most=self.channel.most, messages=self.book.count)
@@ -201,6 +219,7 @@
     async def _decide(self) -> None:
         last_look = 0
         self._decided_at = self.clock.now()
+        self.director.moment_over(self._decided_at)  # the first moment: it may want the list
         while True:
             now = self.clock.now()
             due = self._timers[0][0] if self._timers else now + SECOND
@@ -224,6 +243,8 @@
                 last_look = now
                 self.intake.look(now)
                 self._drain(now)
+                for teller in self._tellers:
+                    teller.look(now)
                 self._compare(now)
             await trio.lowlevel.checkpoint()
 
@@ -578,10 +599,12 @@
         self.book.join(proxy, zone, hosts, rate)
         self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh, term=term)
         self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh, term=term)
+        self._use_hint(now, name, zone, term)
         self.director.proxy_joined(now, proxy, zone, rate, fresh)
 
     def left(self, proxy: int, name: str, why: str) -> None:
         now = self.clock.now()
+        self._tell_peers(now, proxy, name)
         self.book.leave(proxy)
         self.channel.forget(proxy)
         books: tuple[dict[int, Any], ...] = (self._shelves, self._files, self._held, self._marks)
@@ -613,6 +636,48 @@
         self.log.warning("refused by a proxy", proxy=name, form=kind, message=number, cause=cause)
         self.records.note(self.clock.now(), "refused", proxy=name, form=kind, message=number, cause=cause)
 
+    # Handoff, where there are links.
+
+    def _tell_peers(self, now: int, proxy: int, name: str) -> None:
+        """What was met with this proxy, to all who may get it."""
+        hosts = {}
+        for host, ring in self._met.pop(proxy, {}).items():
+            tries, errors, spent = ring.total(now, MET_BUCKETS)
+            if tries:
+                hosts[host] = (int(tries), int(errors), round(spent / max(tries - errors, 1)))
+        if hosts:
+            hint = Hint(name, self._terms_of[proxy], MET_BUCKETS * SECOND, hosts)
+            for teller in self._tellers:
+                teller.tell(now, hint)
+
+    def _hand_on(self, k: int, packet: Packet) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._post, k, packet, write(packet, self._known))
+
+    async def _post(self, k: int, packet: Packet, body: bytes) -> None:
+        if await self._posts[k].send(body):
+            teller = self._tellers[k]
+            await self._send.send(lambda now: teller.answered(packet.epoch, packet.number))
+
+    async def _handed(self, body: bytes) -> bool:
+        try:
+            packet = read(body, self._by_address)
+        except FormError as fault:
+            self._mode("link", True, "a peer tells what cannot be read", cause=str(fault))
+            return False
+        self._mode("link", False, "peers tell what can be read")
+        await self._send.send(lambda now: self._hints.take(now, packet))
+        return True
+
+    def _use_hint(self, now: int, name: str, zone: str, term: int) -> None:
+        """Evidence of the proxy's stay with another, as if it had been heard here."""
+        hint = self._hints.claim(now, name, term)
+        if hint is None:
+            return
+        for host, (tries, errors, mean) in hint.hosts.items():
+            self.director.hosts_heard(now, host, zone, tries, errors, mean, hint.window, {})
+        self.records.note(now, "hint", proxy=name, term=hint.term, hosts=len(hint.hosts))
+
     def heard(
         self,
         proxy: int,
@@ -626,6 +691,11 @@
         host = self._by_address.get(address)
         if host is not None:
             zone = self.book.members[proxy].zone
+            if self._posts:
+                ring = self._met.setdefault(proxy, {}).get(host)
+                if ring is None:
+                    ring = self._met[proxy][host] = Ring(SECOND, MET_BUCKETS, 3)
+                ring.add(self.clock.now(), tries, errors, mean * (tries - errors))
             self.director.hosts_heard(self.clock.now(), host, zone, tries, errors, mean, window, told)
 
     def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
--- a/willowhook/trial/badday.py
+++ b/willowhook/trial/badday.py
@@ -136,5 +136,11 @@
     return draw(seed, length_s, troubles=troubles, **size)
 
 
+# what the bench calls them
+BENCH = {
+    "crash": "host_crash", "hang": "host_hang", "slow": "host_slow", "class_fail": "route_unanswered",
+    "ageing": "decline", "false_reports": "false_load", "discovery_down": "roster_away",
+    "balancer_crash": "director_killed", "counter_down": "no_director", "reconnect": "streams_lost",
+}  # fmt: skip
 SIZES = {"host_slow": 4.0, "fast_errors": 0.8, "burst": 1.5, "one_sided": 0.5, "false_load": 0.05,
          "conn_squeeze": 0.05}  # fmt: skip
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -408,6 +408,20 @@
         for host in hosts:
             await self.start_host(host, True)
 
+    async def strike_zone_loss(self, row: Trouble) -> None:
+        """All hosts of one zone die at once, and come back cold."""
+        zone = self.chance.choice(ZONES)
+        up = [host for host in self.hosts.values() if host.process and not host.draining]
+        hosts = [
+            host for host in up if host.plan.zone == zone and host.process and host.process.poll() is None
+        ]
+        for host in hosts:
+            await self.crash(host)
+        await trio.sleep(row.for_s)
+        for host in hosts:
+            if host.process is None:
+                await self.start_host(host, True)
+
     async def strike_decline(self, row: Trouble) -> None:
         """Slower and slower, then dead, and back."""
         hosts = self.some_hosts(row.part)
