--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -154,3 +154,22 @@
     for row in done.path:
         click.echo(f"  {row}")
     sys.exit(1 if done.broken else 0)
+
+
+@trial.command()
+@click.option("--proxies", type=click.IntRange(1, 5000), default=245, show_default=True)
+@click.option("--hosts", type=click.IntRange(2, 400), default=40, show_default=True)
+@click.option(
+    "--calls", type=click.FloatRange(1, 5000), default=300.0, show_default=True, help="Calls a second."
+)
+@click.option("--folder", type=click.Path(), default="")
+def orphans(proxies: int, hosts: int, calls: float, folder: str) -> None:
+    """All proxies lose their director at once and go to the one that is left."""
+    import tempfile
+
+    from ..trial.takeover import orphans as run
+
+    done = run(Path(folder or tempfile.mkdtemp(prefix="willowhook-")), proxies, hosts, calls)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/trial/takeover.py
+++ b/willowhook/trial/takeover.py
@@ -25,7 +25,7 @@
 from ..files.swap import CURRENT, read_group
 from ..xds import forms, tables
 from ..xds.codec import encode, read_response, response
-from .day import Day, Trouble, draw
+from .day import ZONES, Day, Trouble, draw
 from .notes import SECOND, read_notes, ticks
 from .stage import Outcome, Stage
 
@@ -234,3 +234,23 @@
     stage.fenced = fenced
     outcome = trio.run(stage.run)
     return look_back(stage, outcome)
+
+
+def orphans(folder: Path, proxies: int, hosts: int, calls_per_s: float, seed: int = 1) -> Takeover:
+    """All proxies lose their one director at once, for good, and go to the other."""
+    day = draw(
+        seed, 26.0, hosts=hosts, proxies=proxies, directors=2, calls_per_s=calls_per_s, troubles=[], spare=0
+    )
+    for plan in day.proxies:
+        plan.zone = ZONES[0]  # where the first director is
+    shutil.rmtree(folder, ignore_errors=True)
+    stage = OrphanStage(day, folder, 0, 1.0)
+    outcome = trio.run(stage.run)
+    return look_back(stage, outcome)
+
+
+class OrphanStage(TakeoverStage):
+    async def strike_directors(self) -> None:
+        await trio.sleep(max((self.zero - ticks()) / SECOND + 10.0, 0))
+        self.kill_director(0)
+        self.count["kill"] += 1
