Table guard: judged by effect on what every proxy holds, on the only way out

Change: a guard without I/O judges each message as it leaves, by hosts, grace, ramps, all proxies' tables and what is in flight; verdicts with reasons, steps and as data; guard check offline; shadow mode; stated direction where a check breaks.

--- a/willowhook/cli/main.py
+++ b/willowhook/cli/main.py
@@ -1,6 +1,6 @@
 """The command line with all of its sub-commands."""
 
-from . import trial
+from . import guard, trial
 from .commands import main
 
-__all__ = ["main", "trial"]
+__all__ = ["guard", "main", "trial"]
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -173,3 +173,16 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command("guard")
+@click.option("--tables", type=click.IntRange(10, 10_000_000), default=20_000, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+def guard_trial(tables: int, seed: int) -> None:
+    """Bad and good tables, each shown to be so by an oracle that plays it forward, before the guard."""
+    from ..trial.guard_cases import confusion
+
+    done = confusion(tables, seed)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -115,6 +115,15 @@
     most_waiting: Annotated[int, Meta(ge=100, le=1_000_000)] = 20_000
 
 
+class GuardTerms(Part, frozen=True, kw_only=True):
+    """The table guard, on the only way out."""
+
+    mode: Literal["on", "shadow", "off"] = "on"  # shadow: what would be refused passes, and is told of
+    cold_part: Annotated[float, Meta(gt=0, le=1)] = 0.8  # of a cold host's budget
+    swing: Annotated[float, Meta(ge=1)] = 6.0  # times its fair part of all calls, for one host
+    capacity_calls_per_s: dict[str, Positive] = {}  # by kind of host, where it is known
+
+
 class LinkTerms(Part, frozen=True, kw_only=True):
     """Links between directors, where an installation allows them; none is needed."""
 
@@ -141,3 +150,4 @@
     fleet: FleetTerms
     records: RecordTerms = RecordTerms()
     links: LinkTerms = LinkTerms()
+    guard: GuardTerms = GuardTerms()
--- a/willowhook/director/book.py
+++ b/willowhook/director/book.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from itertools import count
 
 from ..host import ALL_TABLES, Facts
 
@@ -19,6 +20,7 @@
     def __init__(self, number: int, lines: dict[str, float], levels: dict[int, tuple[int, float]]) -> None:
         self.number, self.lines, self.levels = number, lines, levels
         self.shared = False
+        self.serial = 0  # the same for the same content; set when a message takes it up
         self.bodies: dict[object, bytes] = {}  # as encoded, by what else shows in it
 
     def copy(self) -> TableState:
@@ -33,6 +35,7 @@
     withdrawn: Mapping[str, None]
     levels: Mapping[int, tuple[int, float]]  # for all tables
     leave: bool = False  # it is to follow another director
+    serial: int = 0  # of what is withdrawn, and of the levels for all
 
 
 @dataclass(slots=True)
@@ -71,6 +74,8 @@
         self._touched: dict[int, None] = {}
         self._mark, self._everyone = -1, False
         self.count = 0
+        self._serials = count(1)
+        self._serial = 0
 
     # Members.
 
@@ -142,10 +147,11 @@
             member = self.members[proxy]
             bound = {route: self.tables[table] for route, table in member.bound.items()}
             for state in bound.values():
-                state.shared = True
+                if not state.shared:
+                    state.shared, state.serial = True, next(self._serials)
             self.count += 1
             lines = member.owed + self._head + (self._mark >= 0)
-            view = View(bound, self._withdrawn, self._levels, member.leave)
+            view = View(bound, self._withdrawn, self._levels, member.leave, self._serial)
             member.owed, self._frozen = 0, True
             self._out(Message(self.count, self._mark, proxy, lines, now, view))
         self._touched.clear()
@@ -179,5 +185,6 @@
         return state
 
     def _thaw(self) -> None:
+        self._serial = next(self._serials)
         if self._frozen:
             self._withdrawn, self._levels, self._frozen = dict(self._withdrawn), dict(self._levels), False
--- a/willowhook/director/render.py
+++ b/willowhook/director/render.py
@@ -31,6 +31,16 @@
     rows: dict[str, Row] = field(default_factory=dict)  # by route
     assignments: dict[str, forms.ClusterLoadAssignment] = field(default_factory=dict)
 
+    def weights(self, route: str) -> dict[str, float]:
+        row = self.rows.get(route)
+        table = self.assignments.get(row[2]) if row else None
+        return {line[0]: line[4] for line in tables.lines(table)} if table else {}
+
+    def out(self) -> frozenset[str]:
+        """What is withdrawn from all that is held."""
+        rows = [line for table in self.assignments.values() for line in tables.lines(table)]
+        return frozenset(line[0] for line in rows if line[5])
+
     def hosts(self, route: str) -> frozenset[str]:
         row = self.rows.get(route)
         table = self.assignments.get(row[2]) if row else None
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -10,6 +10,7 @@
 import os
 import stat
 import time
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -37,6 +38,7 @@
 from .intake import REQUESTS, Intake
 from .links import Post, listen, read, write
 from .render import Address, Files, Held, Renderer
+from .watchman import HELD, SPLIT, Watchman, guard_terms, records_of
 
 SECOND = 10_000
 MET_BUCKETS = 5  # seconds of what was met, that are handed on
@@ -119,6 +121,7 @@
         self._files: dict[int, Files] = {}
         self._held: dict[int, Held] = {}
         self._joins = 0
+        self._route_at = {route.name: k for k, route in enumerate(terms.routes)}
         self._terms_of: dict[int, int] = {}  # of each proxy's stay
         self._resend: dict[int, tuple[int, int]] = {}  # by proxy: when to look for its answer, and the wait
         self._draining = False
@@ -129,8 +132,15 @@
         self._posts = [Post(url, links.timeout_ms / 1000) for url in links.peers]
         self._tellers: list[Teller] = []
         self.link_port = 0
+        made = guard_terms(
+            self.facts, terms.guard.cold_part, terms.guard.swing, terms.guard.capacity_calls_per_s
+        )
+        self.watchman = Watchman(self.facts, made, terms.guard.mode == "shadow")
+        self._guarded = terms.guard.mode != "off"
+        self._later: dict[int, tuple[int, Message]] = {}  # held by the guard, until when
         self._unsent: dict[int, Message] = {}  # whose swap failed: the newest, which holds all
         self._marks: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: message, mark, when ordered
+        self._guard_us: deque[int] = deque(maxlen=10_000)
         self._put: dict[int, int] = {}  # by proxy: the message whose files lie there
         self._known: dict[str, Address] = {}  # of all hosts ever listed
         self._stays: dict[str, tuple[int, ...]] = {}  # of the proxies that are here
@@ -177,11 +187,20 @@
                 task_status.started()
         finally:
             self.log.info("ended", queue_most=self.channel.most, messages=self.book.count)
+            self._note_guard()
             self.records.note(self.clock.now(), "ended")
             self.records.flush()
             self._watch.close()
             self.folder.close()
 
+    def _note_guard(self) -> None:
+        """What the guard did in this life, and what a check cost."""
+        took = sorted(self._guard_us) or [0]
+        self.records.note(
+            self.clock.now(), "guarded", counts=self.watchman.counts, median_us=took[len(took) // 2],
+            p99_us=took[int(len(took) * 0.99)],
+        )  # fmt: skip
+
     def _mode(self, name: str, on: bool, text: str, **parts: Any) -> None:
         """One line when a trouble begins, and one when it ends."""
         if self._modes.get(name, False) != on:
@@ -305,7 +324,9 @@
                 message, kept = taken
                 if not kept:
                     self._mode("cap", True, "more messages to one proxy than allowed", proxy=message.proxy)
-                if await self._swap(message):
+                self._later.pop(message.proxy, None)  # a later message holds all of it
+                allowed = self._guard(now, message)
+                if allowed is None or await self._swap(allowed):
                     self._unsent.pop(message.proxy, None)
                 else:
                     self._unsent[message.proxy] = message
@@ -316,14 +337,52 @@
                     if await self._swap(message):
                         self._unsent.pop(proxy, None)
                 retry_at = self.clock.now() + SECOND // 5
+            for proxy, (at, message) in list(self._later.items()):
+                if now >= at:
+                    del self._later[proxy]
+                    allowed = self._guard(now, message)
+                    if allowed is not None and not await self._swap(allowed):
+                        self._unsent[proxy] = allowed
+                        retry_at = now + SECOND // 5
             await self._look_for_answers(now)
             due = self.channel.due()
             waits = [due - now] if due is not None else []
             waits += [retry_at - now] if self._unsent else []
+            waits += [min(at for at, _ in self._later.values()) - now] if self._later else []
             self._woken = trio.Event()
             with trio.move_on_after(max(min(waits, default=SECOND), 0) / SECOND):
                 await self._woken.wait()
 
+    def _version(self, message: Message) -> tuple[int, int, int]:
+        return self._terms_of[message.proxy], self.folder.epoch, message.number
+
+    def _guard(self, now: int, message: Message) -> Message | None:
+        """The message as it may go out now; None if it may not, or not yet."""
+        proxy = message.proxy
+        if not self._guarded or proxy not in self._shelves:
+            return message
+        began = time.perf_counter()
+        verdict, _ = self.watchman.judge(now, message, self._version(message), self.channel.waiting)
+        took = round((time.perf_counter() - began) * 1e6)
+        if verdict.good and not verdict.rescue and not verdict.faults:
+            self._guard_us.append(took)
+            return message
+        name = self._names[proxy]
+        self.records.note(
+            now, "guard", message=message.number, proxy=name, took_us=took, **records_of(verdict)
+        )
+        for fault in verdict.faults:
+            self._mode("guard", True, "a check of the guard broke", cause=fault)
+        if verdict.good:
+            return message
+        why = verdict.findings[0].line()
+        self.log.warning("held by the guard" if verdict.what in (HELD, SPLIT) else "refused by the guard",
+                         proxy=name, message=message.number, verdict=verdict.what, cause=why)  # fmt: skip
+        if verdict.what in (HELD, SPLIT):
+            until = verdict.until() or max((step.at for step in verdict.steps), default=now + SECOND)
+            self._later[proxy] = (max(until, now + SECOND // 10), message)
+        return self.watchman.first_step(message, verdict) if verdict.what == SPLIT else None
+
     async def _look_for_answers(self, now: int) -> None:
         """Files that nobody answered are put in place again: a late rename of another may lie over them."""
         for proxy, (due, wait) in list(self._resend.items()):
@@ -365,6 +424,8 @@
         self.records.note(now, "sent", message=message.number, proxy=name, waiting=self.channel.waiting,
                           after=now - message.ordered, swapped=swapped)  # fmt: skip
         if proxy in self._marks:
+            tables = self.watchman.tables(proxy, message.view)
+            self.watchman.sent(now, message, self._version(message), tables)
             if swapped:
                 self._put[proxy] = message.number
                 self._resend.setdefault(proxy, (now + RESEND, RESEND))
@@ -397,6 +458,7 @@
         self._known.update({host.id: (host.address, host.port, host.zone) for host in hosts})
         rows = [[h.id, "draining" if h.draining else "open", h.started] for h in hosts]
         self.records.note(now, "list", hosts=rows)
+        self.watchman.listed(now, hosts, self.clock.start_of)
         self.director.list_began(now, True)
         for host in hosts:
             mode = "terminating" if host.draining else "in_service"
@@ -600,11 +662,14 @@
         self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh, term=term)
         self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh, term=term)
         self._use_hint(now, name, zone, term)
+        self.watchman.joined(proxy, zone, rate, held)
         self.director.proxy_joined(now, proxy, zone, rate, fresh)
 
     def left(self, proxy: int, name: str, why: str) -> None:
         now = self.clock.now()
         self._tell_peers(now, proxy, name)
+        self.watchman.left(proxy)
+        self._later.pop(proxy, None)
         self.book.leave(proxy)
         self.channel.forget(proxy)
         books: tuple[dict[int, Any], ...] = (self._shelves, self._files, self._held, self._marks)
@@ -626,6 +691,7 @@
         if not done:
             return
         del book[: len(done)]
+        self.watchman.applied(proxy, number)
         _, mark, ordered = done[-1]
         self.records.note(now, "applied", message=number, proxy=self._names[proxy], after=now - ordered)
         if mark >= 0:
@@ -700,6 +766,7 @@
 
     def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         self.director.calls_came(self.clock.now(), proxy, route, calls, dropped, window)
+        self.watchman.came(proxy, self._route_at[route], calls * SECOND / window)
 
     def fault(self, name: str, cause: str) -> None:
         self.log.warning("bad file of a proxy", proxy=name, cause=cause)
--- /dev/null
+++ b/willowhook/director/watchman.py
@@ -0,0 +1,140 @@
+"""The guard at the only way out: what the director knows becomes the guard's world, and messages its
+candidates.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from ..guard.guard import Candidate, Guard
+from ..guard.verdict import HELD, PASSED, SPLIT, Verdict
+from ..guard.world import DRAINING, OPEN, GuardTerms, HostFacts, RouteFacts, Tables, World
+from ..host import Facts
+from ..roster.forms import Host
+from .book import Message, TableState, View
+from .render import Held
+
+SECOND = 10_000
+
+
+def guard_terms(facts: Facts, part: float, swing: float, capacity: Mapping[str, float]) -> GuardTerms:
+    rules, channel = facts.rules, facts.channel
+    routes = tuple(RouteFacts(r.name, r.semantics, r.own_zone, r.zones, r.kinds) for r in facts.routes)
+    return GuardTerms(
+        routes, rules.drain_grace, rules.cold, rules.start_capacity, rules.fall_multiple,
+        channel.lines_per_s / SECOND, channel.most_waiting, channel.messages_most, channel.messages_over,
+        facts.fleet.proxies, part, swing, capacity,
+    )  # fmt: skip
+
+
+class Watchman:
+    def __init__(self, facts: Facts, terms: GuardTerms, shadow: bool) -> None:
+        self._facts = facts
+        self.world = World(terms)
+        self.guard = Guard(self.world, shadow)
+        self._held: dict[int, Held] = {}
+        self._rates: dict[int, list[float]] = {}
+        self._sent: dict[int, list[tuple[int, Tables]]] = {}  # by proxy: messages that were not answered yet
+        self.counts: dict[str, int] = {}
+
+    def listed(self, now: int, hosts: list[Host], start_of: Callable[[Host], int]) -> None:
+        weights = self._facts.weights in ("nominal", "rough")
+        self.world.list_hosts(now, [
+            HostFacts(host.id, DRAINING if host.draining else OPEN, now, start_of(host),
+                      host.size if weights else 1.0, host.kind, host.zone)
+            for host in hosts
+        ])  # fmt: skip
+
+    def joined(self, proxy: int, zone: str, rate: float, held: Held) -> None:
+        self._held[proxy], self._sent[proxy] = held, []
+        rates = [rate / len(self._facts.routes)] * len(self._facts.routes)
+        self._rates[proxy] = rates
+        lines = tuple(held.weights(route.name) for route in self._facts.routes)
+        usual = (self._facts.fleet.usual_tries,) * len(lines)
+        tables = Tables(lines, held.out(), usual, (float("inf"),) * len(lines))
+        self.world.join(proxy, zone, tuple(rates), tables)
+
+    def left(self, proxy: int) -> None:
+        self.world.leave(proxy)
+        for book in (self._held, self._rates, self._sent):
+            book.pop(proxy, None)
+
+    def came(self, proxy: int, route: int, rate: float) -> None:
+        rates = self._rates.get(proxy)
+        # small changes are not followed: a class is left and entered for each
+        if rates is not None and abs(rate - rates[route]) > 0.2 * max(rates[route], 0.5):
+            rates[route] = rate
+            self.world.rate(proxy, tuple(rates))
+
+    def applied(self, proxy: int, number: int) -> None:
+        sent = self._sent.get(proxy, [])
+        done = [tables for at, tables in sent if at <= number]
+        if done:
+            self._sent[proxy] = [row for row in sent if row[0] > number]
+            self.world.answered(proxy, done[-1])
+
+    def sent(self, now: int, message: Message, version: tuple[int, int, int], tables: Tables) -> None:
+        if message.proxy in self._sent:
+            self.world.sent(now, message.proxy, tables, version)
+            self._sent[message.proxy].append((message.number, tables))
+
+    def tables(self, proxy: int, view: View) -> Tables:
+        """What a message makes its proxy hold."""
+        held = self._held.get(proxy)
+        lines: list[Mapping[str, float]] = []
+        tries, levels, serials = [], [], []
+        for k, route in enumerate(self._facts.routes):
+            state = view.bound.get(k)
+            if state is None:
+                lines.append(held.weights(route.name) if held else {})
+                tries.append(self._facts.fleet.usual_tries)
+                levels.append(float("inf"))
+                continue
+            order = state.levels.get(k, view.levels.get(k, (self._facts.fleet.usual_tries, float("inf"))))
+            lines.append(state.lines)
+            tries.append(order[0])
+            levels.append(order[1])
+            serials.append(state.serial)
+        whole = len(serials) == len(lines)
+        key = (*serials, view.serial) if whole and all(serials) else None
+        return Tables(tuple(lines), frozenset(view.withdrawn), tuple(tries), tuple(levels), key)
+
+    def judge(
+        self, now: int, message: Message, version: tuple[int, int, int], waiting: int
+    ) -> tuple[Verdict, Tables]:
+        """`waiting`: lines in the channel, with this message's own if it has not left."""
+        self.world.queue(now, waiting)
+        tables = self.tables(message.proxy, message.view)
+        verdict = self.guard.judge(now, Candidate(message.proxy, tables, version, message.lines, True))
+        self.counts[verdict.what] = self.counts.get(verdict.what, 0) + 1
+        return verdict, tables
+
+    @staticmethod
+    def first_step(message: Message, verdict: Verdict) -> Message:
+        """The message with the tables of a split's first step."""
+        view = message.view
+        made: dict[int, TableState] = {}
+        bound = {}
+        for k, state in view.bound.items():
+            cut = made.get(state.number)
+            if cut is None:
+                lines = dict(state.lines)
+                for step in verdict.steps[::2]:  # each cold host's own first step
+                    for name, weight in state.lines.items():
+                        lines[name] = min(lines[name], step.lines[k].get(name, weight))
+                cut = made[state.number] = TableState(state.number, lines, state.levels)
+                cut.shared = True
+            bound[k] = cut
+        small = View(bound, view.withdrawn, view.levels, view.leave, 0)
+        return Message(message.number, message.mark, message.proxy, message.lines, message.ordered, small)
+
+
+def records_of(verdict: Verdict) -> dict[str, Any]:
+    """A verdict for the director's record."""
+    data = verdict.data()
+    data["steps"] = [{"at": step["at"], "why": step["why"]} for step in data["steps"]]
+    return data
+
+
+__all__ = ["HELD", "PASSED", "SPLIT", "Watchman", "guard_terms", "records_of"]
