--- a/tests/broken_director.py
+++ b/tests/broken_director.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from willowhook.cli.main import main
-from willowhook.director import book
+from willowhook.director import book, render
 from willowhook.rules import Director
 
 
@@ -20,6 +20,7 @@
 
 def rule_2() -> None:
     """Everything is tried again after any failure."""
+    render.safe_tries = lambda semantics, tries: tries
     allow = book.OrderBook.allow
     book.OrderBook.allow = lambda self, table, routes, tries, level: allow(self, table, routes, 3, level)  # type: ignore[method-assign]
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -13,6 +13,7 @@
 import trio
 
 from willowhook.config.example import EXAMPLE
+from willowhook.records.writer import read_records
 from willowhook.trial.badday import one, report, short_day
 from willowhook.trial.day import Trouble, arrivals, draw
 from willowhook.trial.judge import Verdict
@@ -27,19 +28,20 @@
 }
 
 
-def broken(rule: int, folder: Path) -> list[Verdict]:
-    """A day under a director that breaks this rule."""
+def broken(rule: int, folder: Path, guard: str) -> list[Verdict]:
+    """A day under a director that breaks this rule, with the guard or without."""
     day = draw(rule, 9.0, hosts=5, proxies=3, directors=1, calls_per_s=45.0, troubles=TROUBLE[rule], spare=0)
     if rule == 4:  # warm before the first director forgets its caution towards cold hosts
-        day.length_s, day.calls_per_s = 14.0, 70.0
+        day.length_s, day.calls_per_s = 14.0, 75.0
+        day.rules = msgspec.structs.replace(day.rules, fall_multiple=2.0)
         day.troubles = [Trouble("host_crash", 5.0, 2.0, 0.2)]
     command = [sys.executable, str(Path(__file__).parent / "broken_director.py"), str(rule)]
-    return trio.run(Stage(day, folder, director=command).run).verdicts
+    return trio.run(Stage(day, folder, director=command, guard=guard).run).verdicts
 
 
 def test_each_rule_broken_on_purpose_is_seen(tmp_path: Path) -> None:
     def played(rule: int) -> list[Verdict]:
-        return broken(rule, tmp_path / str(rule))
+        return broken(rule, tmp_path / str(rule), "shadow")
 
     with ThreadPoolExecutor(5) as pool:
         verdicts = dict(zip(range(1, 6), pool.map(played, range(1, 6)), strict=True))
@@ -48,10 +50,28 @@
         assert not rows[rule - 1].kept and rows[rule - 1].found, f"rule {rule} was not seen broken:\n{lines}"
         if rule in (2, 3, 5):
             assert sum(not row.kept for row in rows) == 1, lines
+        # the guard, which shares no code with the judge, saw it coming
+        records = read_records(str(tmp_path / str(rule) / "director-0.records"))
+        told = {f["rule"] for row in records if row["kind"] == "guard" for f in row["findings"]}
+        assert rule in told, f"the judge saw rule {rule} broken, the guard told of {told}"
+
+
+def test_the_guard_keeps_what_a_broken_director_would_break(tmp_path: Path) -> None:
+    """Empty tables, orders to try again, a new host given nearly all: stopped on the way out."""
+
+    def played(rule: int) -> list[Verdict]:
+        return broken(rule, tmp_path / str(rule), "on")
+
+    with ThreadPoolExecutor(3) as pool:
+        for rule, rows in zip((1, 2, 4), pool.map(played, (1, 2, 4)), strict=True):
+            assert rows[rule - 1].kept, f"rule {rule}:\n" + "\n".join(row.line() for row in rows)
 
 
 def test_a_short_bad_day_keeps_the_rules(tmp_path: Path) -> None:
     done = one(short_day(3), tmp_path, (), lambda text: None)
+    records = [row for path in tmp_path.glob("*/director-*.records") for row in read_records(str(path))]
+    stopped = [row for row in records if row["kind"] == "guard" and row["what"] != "passed"]
+    assert not stopped, stopped[0]  # nor does the guard find fault with what the judge lets pass
     assert done.director.kept, "\n".join(report(done))
     assert done.director.service > 0.5 and done.director.answered > 200
 
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -25,6 +25,7 @@
 import trio
 
 from ..config.facts import ticks as ms_ticks
+from ..config.terms import GuardTerms
 from ..files.layout import DRAIN
 from .day import ZONES, Day, HostPlan, Trouble, terms_of
 from .judge import Judge, Limits, Verdict
@@ -68,11 +69,11 @@
 
     def __init__(
         self, day: Day, folder: Path, how: str = "director", director: Sequence[str] = (),
-        say: Callable[[str], None] = lambda text: None, durability: str = "none",
+        say: Callable[[str], None] = lambda text: None, durability: str = "none", guard: str = "on",
     ) -> None:  # fmt: skip
         self.day, self.folder, self.how, self.say = day, folder, how, say
         self.command = list(director) or [sys.executable, "-m", "willowhook.cli"]
-        self.durability, self.fenced = durability, True
+        self.durability, self.fenced, self.guard = durability, True, guard
         folder.mkdir(parents=True, exist_ok=True)
         self.notes = Notes(str(folder / "stage.notes"))
         self.chance = random.Random(day.seed + 5)
@@ -140,6 +141,7 @@
         url = f"http://127.0.0.1:{self.roster.port}"
         records = str(self.folder / f"director-{rank}.records")
         terms = terms_of(self.day, rank, self.director_folder(rank), url, records, durability=self.durability)
+        terms = msgspec.structs.replace(terms, guard=msgspec.convert({"mode": self.guard}, GuardTerms))
         path = self.folder / f"director-{rank}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(terms)))
         args = [*self.command, "director", "--config", str(path), "--log-format", "json"]
