The guard's sums are kept running: a check costs the lines of one proxy's tables

Cause: a check looked at every host over every class of proxies, 10 ms at 86 hosts under load, too much at 200 messages a second. Change: what each host may be sent is a running sum, made anew now and then; a check looks at what rises with this message, at hosts that are shut or cold, and at the form of each content once a list.

--- a/willowhook/guard/guard.py
+++ b/willowhook/guard/guard.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from .verdict import HELD, PASSED, REFUSED, SPLIT, Finding, Step, Verdict
-from .world import DRAINING, GONE, OPEN, HostFacts, Shares, Tables, World
+from .world import OPEN, HostFacts, Shares, Tables, World
 
 SCALE = 10_000  # a weight of 1 as the whole number that is published
 LEAST_TRIES, MOST_TRIES = 0, 3
@@ -36,6 +36,9 @@
 }
 
 
+OF_CONTENT = ("weights", "known", "places", "tries")  # the same for all proxies of a zone
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     proxy: object
@@ -50,6 +53,8 @@
 
     def __init__(self, world: World, shadow: bool = False) -> None:
         self.world, self.shadow = world, shadow
+        self._rises: dict[str, float] = {}  # of the candidate that is judged
+        self._fine: dict[tuple[object, object], int] = {}  # contents and zone: found fine under which listing
         self.checks: dict[str, Callable[[int, Candidate, Shares, Verdict], None]] = {
             "version": self.check_version,
             "weights": self.check_weights,
@@ -69,10 +74,19 @@
         verdict = Verdict()
         try:
             shares = self._shares(candidate.tables)
+            whole = candidate.proxy in self.world.proxies and len(shares.by_route) == len(
+                self.world.terms.routes
+            )
+            self._rises = self.world.rises(candidate.proxy, shares) if whole else {}
         except Exception as fault:
             verdict.add(Finding("shares", REFUSED, 0, f"cannot be worked out: {fault!r}", "mend the tables"))
             return verdict
+        zone = self.world.proxies[candidate.proxy].zone if candidate.proxy in self.world.proxies else ""
+        content = (candidate.tables.key, zone)
+        fine = candidate.tables.key is not None and self._fine.get(content) == self.world.listing
         for name, check in self.checks.items():
+            if fine and name in OF_CONTENT:
+                continue  # the same tables were looked at for another proxy
             try:
                 check(now, candidate, shares, verdict)
             except Exception as fault:
@@ -83,6 +97,10 @@
                     verdict.add(
                         Finding(name, REFUSED, 0, "the check itself broke", "report it with the record")
                     )
+        if verdict.what == PASSED and not verdict.faults and candidate.tables.key is not None:
+            if len(self._fine) > 1000:
+                self._fine.clear()
+            self._fine[content] = self.world.listing
         if verdict.what != PASSED:
             self._rescue(now, candidate, verdict)
         if self.shadow and verdict.what != PASSED:
@@ -209,13 +227,11 @@
     # Rule 3.
 
     def check_drained(self, now: int, candidate: Candidate, shares: Shares, verdict: Verdict) -> None:
-        for name in shares.hosts:
-            host = self.world.hosts.get(name)
-            if (
-                host is not None
-                and host.mode in (DRAINING, GONE)
-                and now >= host.since + self.world.terms.grace
-            ):
+        for name in self.world.shut:
+            if name not in shares.hosts:
+                continue
+            host = self.world.hosts[name]
+            if now >= host.since + self.world.terms.grace:
                 past = now - host.since
                 text = f"it is {host.mode} since {past}, the grace is {self.world.terms.grace}"
                 limit = self.world.terms.grace
@@ -228,10 +244,13 @@
         facts = self.world.proxies.get(candidate.proxy)
         zone = facts.zone if facts is not None else ""
         for k, row in enumerate(shares.by_route):
-            left = [self.world.hosts[name] for name in row if name in self.world.hosts]
+            hosts, warm = self.world.hosts, self.world.warmth
+            if any(
+                name in hosts and hosts[name].mode == OPEN and warm(now, hosts[name]) >= 1 for name in row
+            ):
+                continue  # most often the first
+            left = [hosts[name] for name in row if name in hosts]
             still = [host for host in left if host.mode == OPEN]
-            if any(self.world.warmth(now, host) >= 1 for host in still):
-                continue
             better = self._warm(now, k, zone)
             if not better:
                 continue  # there is nothing warm that it could name
@@ -257,8 +276,7 @@
 
     def usual_load(self) -> float:
         """The calls a second that one open host of size 1 has when all is even."""
-        size = sum(host.size for host in self.world.hosts.values() if host.mode == OPEN)
-        return sum(self.world.total) * self.world.others() / max(size, 1e-9)
+        return sum(self.world.total) * self.world.others() / max(self.world.open_size, 1e-9)
 
     def budget(self, now: int, host: HostFacts) -> float:
         """What all proxies together may send a cold host, in calls a second, by the stated ramp."""
@@ -272,17 +290,16 @@
         )
 
     def check_cold(self, now: int, candidate: Candidate, shares: Shares, verdict: Verdict) -> None:
-        for name in shares.hosts:
-            host = self.world.hosts.get(name)
-            if host is None or host.mode != OPEN or self.world.warmth(now, host) >= 1:
-                continue
-            if candidate.proxy not in self.world.proxies:
-                return
+        for host in self.world.cold(now):
+            name = host.name
+            if name not in self._rises:
+                continue  # no more than before: what takes away is never in the way
             others = self.world.others()
-            before, after = self.world.exposure(name), self.world.exposure_with(name, candidate.proxy, shares)
+            before = self.world.exposure(name)
+            after = before + self._rises[name]
             calls, budget = after * others, self.budget(now, host)
             if calls <= budget or budget <= 0 or after <= before * (1 + 1e-9):
-                continue  # within it, or no more than before: what takes away is never in the way
+                continue
             terms = self.world.terms
             need = calls / budget * self.world.warmth(now, host)
             text = f"{calls:.1f} calls/s may come, {budget:.1f} are allowed while it is cold"
@@ -326,14 +343,15 @@
         terms = self.world.terms
         if not terms.capacity or candidate.proxy not in self.world.proxies:
             return
-        for name in shares.hosts:
+        others = self.world.others()
+        for name, more in self._rises.items():
             host = self.world.hosts.get(name)
             able = terms.capacity.get(host.kind, 0.0) if host is not None else 0.0
             if host is None or not able:
                 continue
             able *= self.world.warmth(now, host) * terms.most_of_capacity
-            calls = self.world.exposure_with(name, candidate.proxy, shares) * self.world.others()
-            before = self.world.exposure(name) * self.world.others()
+            before = self.world.exposure(name) * others
+            calls = before + more * others
             if calls > able and calls > before * 1.02:
                 text = f"{calls:.1f} calls/s may come, it can do {able:.1f}"
                 mend = f"{able / calls:.0%} of its weight"
@@ -341,21 +359,20 @@
 
     def check_swing(self, now: int, candidate: Candidate, shares: Shares, verdict: Verdict) -> None:
         """No host is given many times its part of all calls while others that could share are open."""
-        if candidate.proxy not in self.world.proxies:
+        usual, others, load = self.usual_load(), self.world.others(), self.world.load
+        if usual <= 0:
             return
-        open_hosts = [host for host in self.world.hosts.values() if host.mode == OPEN]
-        usual = self.usual_load()
-        for name in shares.hosts:
+        part = self.world.terms.swing * usual / others
+        for name, more in self._rises.items():
             host = self.world.hosts.get(name)
-            if host is None or usual <= 0:
+            before = load.get(name, 0.0)
+            if host is None or before + more <= part * host.size or more <= before * 0.02:
                 continue
-            limit = self.world.terms.swing * max(host.size, 1e-9) * usual
-            calls = self.world.exposure_with(name, candidate.proxy, shares) * self.world.others()
-            before = self.world.exposure(name) * self.world.others()
-            if calls > limit and calls > before * 1.02:
-                text = f"{calls:.1f} of {sum(self.world.total) * self.world.others():.1f} calls/s may come"
-                mend = f"spread them: {len(open_hosts)} hosts are open"
-                verdict.add(Finding("swing", REFUSED, 0, text, mend, "", name, calls, limit))
+            calls, limit = (before + more) * others, part * host.size * others
+            count = len(self.world.hosts) - len(self.world.shut)
+            text = f"{calls:.1f} of {sum(self.world.total) * others:.1f} calls/s may come"
+            mend = f"spread them: {count} hosts are open"
+            verdict.add(Finding("swing", REFUSED, 0, text, mend, "", name, calls, limit))
 
     # Rule 5.
 
--- a/willowhook/guard/offline.py
+++ b/willowhook/guard/offline.py
@@ -119,6 +119,7 @@
         facts = HostFacts(row.name, row.mode, 0, started, row.size, row.kind, row.zone, row.address)
         facts.since = now - round(row.told_s_ago * SECOND)
         world.hosts[row.name] = facts
+    world.look_again()
     names = [row.name for row in routes]
     for proxy in state.proxies:
         unknown = [name for name in (*proxy.lines, *proxy.calls_per_s) if name not in names]
--- a/willowhook/guard/world.py
+++ b/willowhook/guard/world.py
@@ -1,8 +1,9 @@
 """What a candidate will meet: hosts as listed, and what every proxy holds or may hold soon.
 
-Proxies that hold the same tables are one *class*; a class has the sum of its proxies' calls a second by
-route.  So the calls that a host may be sent are a sum over classes that have a line for it, and a proxy
-that goes from one table to the next costs two sums, however many proxies and hosts there are.
+Proxies that hold the same tables, and wait for the same, are one *class*, for which the most that each
+host may get of each route's calls is worked out once.  What every host may be sent is kept as a running
+sum: a proxy that goes from one class to another costs one pass over the lines of both, however many
+proxies there are.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from dataclasses import dataclass, field
 
 OPEN, DRAINING, GONE = "open", "draining", "gone"
+REBUILD = 65_536  # changes after which running sums are made anew
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +107,13 @@
         self.proxies: dict[object, ProxyFacts] = {}
         self.contents: dict[object, Shares] = {}
         self.classes: dict[tuple[object, ...], list[float]] = {}  # keys held, rates by route and a count last
-        self.by_host: dict[str, dict[tuple[object, ...], None]] = {}  # classes that may send there
+        self._peaks: dict[tuple[object, ...], list[tuple[list[int], dict[str, float]]]] = {}
+        self.load: dict[str, float] = {}  # by host: the most calls a second that may come
+        self._changes = 0
+        self.listing = 0  # how many lists came
+        self.shut: dict[str, None] = {}  # hosts that are not open
+        self.open_size = 0.0
+        self._young: list[HostFacts] = []
         self.waiting, self.waiting_at = 0.0, 0
         self.total = [0.0] * len(terms.routes)
 
@@ -122,6 +130,20 @@
         for name, old in self.hosts.items():
             if name not in here and old.mode != GONE:
                 old.mode, old.since = GONE, now
+        self.look_again()
+
+    def look_again(self) -> None:
+        """Works out what follows from the hosts as they are listed."""
+        self.listing += 1
+        rows = self.hosts.values()
+        self.shut = {host.name: None for host in rows if host.mode != OPEN}
+        self.open_size = sum(host.size for host in rows if host.mode == OPEN)
+        self._young = [host for host in rows if host.mode == OPEN and host.started]
+
+    def cold(self, now: int) -> list[HostFacts]:
+        """Open hosts that are not warm yet."""
+        self._young = [host for host in self._young if now - host.started < self.terms.cold]
+        return self._young
 
     def warmth(self, now: int, host: HostFacts) -> float:
         """The part of its usual work that it can do, by the stated ramp."""
@@ -160,10 +182,12 @@
             return
         self._count(facts.rates, -1)
         self._count(rates, 1)
-        row = self.classes.get(facts.held)
-        for k, (old, new) in enumerate(zip(facts.rates, rates, strict=True)):
-            if row is not None:
-                row[k] += new - old
+        if facts.held:
+            row = self.classes[facts.held]
+            more = tuple(new - old for old, new in zip(facts.rates, rates, strict=True))
+            for k, rate in enumerate(more):
+                row[k] += rate
+            self._add(facts.held, more, 1)
         facts.rates = rates
 
     def sent(self, now: int, proxy: object, tables: Tables, version: tuple[int, int, int]) -> None:
@@ -216,31 +240,61 @@
                 row = self.classes[keys] = [0.0] * (len(facts.rates) + 1)
                 for key in dict.fromkeys(keys):
                     self.contents[key].users += 1
-                    for host in self.contents[key].hosts:
-                        self.by_host.setdefault(host, {})[keys] = None
+                self._peaks[keys] = self._peak(keys)
             for k, rate in enumerate(facts.rates):
                 row[k] += rate
             row[-1] += 1
+            self._add(keys, facts.rates, 1)
         facts.held = keys
         if old:
             row = self.classes[old]
             for k, rate in enumerate(facts.rates):
                 row[k] -= rate
             row[-1] -= 1
+            self._add(old, facts.rates, -1)
             if row[-1] == 0:
                 self._end(old)
+        self._changes += 1
+        if self._changes % REBUILD == 0:
+            self._rebuild()
+
+    def _peak(self, keys: tuple[object, ...]) -> list[tuple[list[int], dict[str, float]]]:
+        """The most of each route's calls that a host may get, for routes that share their tables at one
+        time.
+        """
+        groups: dict[tuple[int, ...], list[int]] = {}
+        for k in range(len(self.terms.routes)):
+            same = tuple(id(self.contents[key].by_route[k]) for key in keys)
+            groups.setdefault(same, []).append(k)
+        found = []
+        for routes in groups.values():
+            peak = dict(self.contents[keys[0]].by_route[routes[0]])
+            for key in keys[1:]:
+                for host, share in self.contents[key].by_route[routes[0]].items():
+                    if share > peak.get(host, 0.0):
+                        peak[host] = share
+            found.append((routes, peak))
+        return found
+
+    def _add(self, keys: tuple[object, ...], rates: tuple[float, ...], sign: int) -> None:
+        load = self.load
+        for routes, peak in self._peaks[keys]:
+            calls = sign * sum(rates[k] for k in routes)
+            if calls:
+                for host, share in peak.items():
+                    load[host] = load.get(host, 0.0) + calls * share
+
+    def _rebuild(self) -> None:
+        """Sums that were added to and taken from for long are made anew."""
+        self.load = {}
+        for keys, row in self.classes.items():
+            self._add(keys, tuple(row[:-1]), 1)
 
     def _end(self, keys: tuple[object, ...]) -> None:
         """Nobody is of this class any more."""
-        del self.classes[keys]
+        del self.classes[keys], self._peaks[keys]
         for key in dict.fromkeys(keys):
             shares = self.contents[key]
-            for host in shares.hosts:  # the same host may stand in several contents
-                classes = self.by_host.get(host)
-                if classes is not None:
-                    classes.pop(keys, None)
-                    if not classes:
-                        del self.by_host[host]
             shares.users -= 1
             if shares.users == 0:
                 del self.contents[key]
@@ -251,26 +305,28 @@
         """The most calls a second that this director's proxies may send there, by what they hold or may
         hold.
         """
-        return sum(self._class_share(keys, row, host) for keys, row in self._rows(host))
+        return max(self.load.get(host, 0.0), 0.0)
 
-    def _rows(self, host: str) -> Iterable[tuple[tuple[object, ...], list[float]]]:
-        return ((keys, self.classes[keys]) for keys in self.by_host.get(host, ()))
-
-    def _class_share(self, keys: tuple[object, ...], row: list[float], host: str) -> float:
-        calls = 0.0
-        for k in range(len(self.terms.routes)):
-            if row[k]:
-                calls += row[k] * max(self.contents[key].by_route[k].get(host, 0.0) for key in keys)
-        return calls
-
-    def exposure_with(self, host: str, proxy: object, shares: Shares) -> float:
-        """The same once these tables are on their way to the proxy as well."""
+    def rises(self, proxy: object, shares: Shares) -> dict[str, float]:
+        """By host the calls a second that come on top, once these tables are on their way to the proxy."""
         facts = self.proxies[proxy]
-        calls = self.exposure(host)
+        held = self._peaks.get(facts.held, [])
+        found: dict[str, float] = {}
+        done: dict[tuple[int, int], float] = {}
+        before_of = {k: peak for routes, peak in held for k in routes}
+        rows: dict[tuple[int, int], tuple[dict[str, float], dict[str, float]]] = {}
         for k, rate in enumerate(facts.rates):
-            before = max((self.contents[key].by_route[k].get(host, 0.0) for key in facts.held), default=0.0)
-            calls += rate * max(shares.by_route[k].get(host, 0.0) - before, 0.0)
-        return calls
+            new, old = shares.by_route[k], before_of.get(k, {})
+            same = (id(new), id(old))
+            done[same] = done.get(same, 0.0) + rate
+            rows[same] = (new, old)
+        for same, rate in done.items():
+            new, old = rows[same]
+            for host, share in new.items():
+                more = share - old.get(host, 0.0)
+                if more > 0:
+                    found[host] = found.get(host, 0.0) + rate * more
+        return found
 
     def exposure_in_full(self, host: str) -> float:
         """The same from every proxy one by one: what the classes are measured and tested against."""
--- a/willowhook/trial/guard_cases.py
+++ b/willowhook/trial/guard_cases.py
@@ -338,6 +338,7 @@
             world.hosts[name] = facts
             facts.since = NOW - round(host.since * SECOND)
             rows.append(facts)
+    world.look_again()
     for k, proxy in enumerate(s.proxies):
         held = Tables(tuple(proxy.lines), frozenset(proxy.out), (1, 1, 1), (math.inf,) * 3)
         if k == 0 and proxy.lines == s.lines:
