--- a/willowhook/cli/commands.py
+++ b/willowhook/cli/commands.py
@@ -126,6 +126,7 @@
 @click.option("--proxy", "only", default="", help="Show this proxy alone.")
 def show(folder: str, only: str) -> None:
     """Show what each proxy of a director's folder would read now."""
+    from ..director.render import DIRECTORS
     from ..files.layout import DOWN
     from ..files.swap import read_group
     from ..xds import tables as forms
@@ -155,6 +156,9 @@
                     click.echo(f"  {route.match.path_separated_prefix} -> {to}: {told}, tries {tries}")
             for table in rows:
                 click.echo(f"  table {table.cluster_name}")
+                if table.cluster_name == DIRECTORS:
+                    click.echo("    it is sent away: this director drains")
+                    continue
                 for host, address, port, zone, weight, out in forms.lines(table):
                     word = "DRAINING" if out else "open"
                     click.echo(f"    {host:24} {address}:{port:<6} {zone:10} {weight:8.4f} {word}")
