--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -269,6 +269,8 @@
         believed, true = self.director.channel.load(), self.channel.waiting
         if now // SECOND != self._noted_at:
             self._noted_at = now // SECOND
+            if isinstance(self.director, Director):
+                self.watchman.learnt({name: up.size for name, up in self.director.hosts.items()})
             self.records.note(
                 now, "queue", believed=round(believed, 1), waiting=true, messages=len(self.channel)
             )
--- a/willowhook/director/watchman.py
+++ b/willowhook/director/watchman.py
@@ -16,6 +16,7 @@
 from .render import Held
 
 SECOND = 10_000
+WORTH = 2.5  # of a host beside the mean, at the most, where it is learnt
 
 
 def guard_terms(facts: Facts, part: float, swing: float, capacity: Mapping[str, float]) -> GuardTerms:
@@ -40,12 +41,19 @@
 
     def listed(self, now: int, hosts: list[Host], start_of: Callable[[Host], int]) -> None:
         weights = self._facts.weights in ("nominal", "rough")
+        known = self.world.hosts
         self.world.list_hosts(now, [
             HostFacts(host.id, DRAINING if host.draining else OPEN, now, start_of(host),
-                      host.size if weights else 1.0, host.kind, host.zone)
+                      host.size if weights else known[host.id].size if host.id in known else 1.0, host.kind,
+                      host.zone)
             for host in hosts
         ])  # fmt: skip
 
+    def learnt(self, sizes: Mapping[str, float]) -> None:
+        """Worth by what answers told, within a bound each way: a wrong one must not open a budget wide."""
+        if self._facts.weights not in ("nominal", "rough"):
+            self.world.sized({name: min(max(size, 1 / WORTH), WORTH) for name, size in sizes.items()})
+
     def joined(self, proxy: int, zone: str, rate: float, held: Held) -> None:
         self._held[proxy], self._sent[proxy] = held, []
         rates = [rate / len(self._facts.routes)] * len(self._facts.routes)
--- a/willowhook/guard/guard.py
+++ b/willowhook/guard/guard.py
@@ -343,15 +343,14 @@
         terms = self.world.terms
         if not terms.capacity or candidate.proxy not in self.world.proxies:
             return
-        others = self.world.others()
         for name, more in self._rises.items():
             host = self.world.hosts.get(name)
             able = terms.capacity.get(host.kind, 0.0) if host is not None else 0.0
             if host is None or not able:
                 continue
             able *= self.world.warmth(now, host) * terms.most_of_capacity
-            before = self.world.exposure(name) * others
-            calls = before + more * others
+            before = self.world.exposure(name) + self.world.elsewhere(host)
+            calls = before + more
             if calls > able and calls > before * 1.02:
                 text = f"{calls:.1f} calls/s may come, it can do {able:.1f}"
                 mend = f"{able / calls:.0%} of its weight"
@@ -359,18 +358,21 @@
 
     def check_swing(self, now: int, candidate: Candidate, shares: Shares, verdict: Verdict) -> None:
         """No host is given many times its part of all calls while others that could share are open."""
-        usual, others, load = self.usual_load(), self.world.others(), self.world.load
+        usual, load = self.usual_load(), self.world.load
         if usual <= 0:
             return
-        part = self.world.terms.swing * usual / others
+        part = self.world.terms.swing * usual
         for name, more in self._rises.items():
             host = self.world.hosts.get(name)
             before = load.get(name, 0.0)
-            if host is None or before + more <= part * host.size or more <= before * 0.02:
+            if host is None or before + more <= part * host.size / 2 or more <= before * 0.02:
+                continue
+            calls, limit = before + more + self.world.elsewhere(host), part * host.size
+            if calls <= limit:
                 continue
-            calls, limit = (before + more) * others, part * host.size * others
             count = len(self.world.hosts) - len(self.world.shut)
-            text = f"{calls:.1f} of {sum(self.world.total) * others:.1f} calls/s may come"
+            whole = sum(self.world.total) * self.world.others()
+            text = f"{calls:.1f} of {whole:.1f} calls/s may come"
             mend = f"spread them: {count} hosts are open"
             verdict.add(Finding("swing", REFUSED, 0, text, mend, "", name, calls, limit))
 
--- a/willowhook/guard/world.py
+++ b/willowhook/guard/world.py
@@ -140,6 +140,13 @@
         self.open_size = sum(host.size for host in rows if host.mode == OPEN)
         self._young = [host for host in rows if host.mode == OPEN and host.started]
 
+    def sized(self, sizes: Mapping[str, float]) -> None:
+        """What hosts are worth beside each other, where no list says so but answers have told."""
+        for name, size in sizes.items():
+            if name in self.hosts:
+                self.hosts[name].size = size
+        self.open_size = sum(host.size for host in self.hosts.values() if host.mode == OPEN)
+
     def cold(self, now: int) -> list[HostFacts]:
         """Open hosts that are not warm yet."""
         self._young = [host for host in self._young if now - host.started < self.terms.cold]
@@ -338,6 +345,13 @@
                 )
         return calls
 
+    def elsewhere(self, host: HostFacts) -> float:
+        """The calls a second that other directors' proxies may bring it, spread as evenly as hosts are
+        large.
+        """
+        calls = sum(self.total) * (self.others() - 1)
+        return calls * host.size / self.open_size if host.mode == OPEN and self.open_size > 0 else 0.0
+
     def others(self) -> float:
         """How many times the calls of this director's proxies there are: others may do as it does."""
         return max(self.terms.fleet / max(len(self.proxies), 1), 1.0)
