A guard that breaks is off and service goes on

Change: whatever breaks there turns the guard off, open, with one line; slow checks are told of. Measured: seven places broken on purpose on a real director, one warning each, drains still reach the proxy.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -506,3 +506,25 @@
         await until(lambda: "no longer draining" in log.texts())
 
     serve(tmp_path, play)
+
+
+@pytest.mark.parametrize("where", ["judge", "sent", "listed", "joined", "applied", "came", "left"])
+def test_a_guard_that_breaks_is_off_and_service_goes_on(tmp_path: Path, where: str) -> None:
+    def breaks(*_: Any, **__: Any) -> None:
+        raise KeyError("on purpose")
+
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        setattr(service.watchman, where, breaks)
+        one = ByHand(service, "p1")
+        one.join()
+        await until(lambda: len(one.hosts()) == 3)
+        one.answer()
+        stats = forms.ClusterStats("load@t0", load_report_interval="1s", total_dropped_requests=9)
+        one.put("load.json", encode(forms.LoadStatsRequest(one.node, [stats])))
+        roster.hosts["b"], roster.index = True, 2
+        await until(lambda: one.hosts() == {"a", "c"})
+        shutil.rmtree(one.up)
+        await until(lambda: not service.intake.present)
+
+    log = serve(tmp_path, play)
+    assert log.texts("warning") == ["the guard broke and is off"]
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -117,12 +117,20 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--directors", type=click.IntRange(1, 20), default=2, show_default=True)
 @click.option("--proxies", type=click.IntRange(1, 2000), default=8, show_default=True)
+@click.option("--undisturbed", is_flag=True, help="The same day with no director struck.")
 @click.option(
     "--fence/--no-fence", default=True, show_default=True, help="Whether proxies look at terms and folders."
 )
 @click.option("--folder", type=click.Path(), default="")
 def takeover(
-    kills: int, every: float, seed: int, directors: int, proxies: int, fence: bool, folder: str
+    kills: int,
+    every: float,
+    seed: int,
+    directors: int,
+    proxies: int,
+    undisturbed: bool,
+    fence: bool,
+    folder: str,
 ) -> None:
     """Kill, stop and start directors over and over; nothing may take effect twice."""
     import tempfile
@@ -130,7 +138,8 @@
     from ..trial.takeover import takeover as run
 
     root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
-    done = run(seed, kills, every, root, click.echo, fence, directors=directors, proxies=proxies)
+    size = {"directors": directors, "proxies": proxies}
+    done = run(seed, kills, every, root, click.echo, fence, not undisturbed, **size)
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -44,6 +44,7 @@
 SECOND = 10_000
 MET_BUCKETS = 5  # seconds of what was met, that are handed on
 MOST_PROBES = 500  # at once
+SLOW_US = 50_000  # of one check of the guard: longer is told of
 RESEND = 2 * SECOND  # files that are not answered by then are put in place again
 START = 100_000 * SECOND  # of this clock: hosts may have started before the machine's own clock did
 OK, ERROR, FULL, TIMED_OUT, DOWN, BROKE = range(6)  # outcomes of a probe
@@ -270,7 +271,8 @@
         if now // SECOND != self._noted_at:
             self._noted_at = now // SECOND
             if isinstance(self.director, Director):
-                self.watchman.learnt({name: up.size for name, up in self.director.hosts.items()})
+                sizes = {name: up.size for name, up in self.director.hosts.items()}
+                self._tell_guard(self.watchman.learnt, sizes)
             self.records.note(
                 now, "queue", believed=round(believed, 1), waiting=true, messages=len(self.channel)
             )
@@ -362,14 +364,33 @@
     def _version(self, message: Message) -> tuple[int, int, int]:
         return self._terms_of[message.proxy], self.folder.epoch, message.number
 
+    def _tell_guard(self, what: Callable[..., None], *told: Any) -> None:
+        """The guard's world is kept; if that breaks, what it says is worth nothing and it is off."""
+        if self._guarded:
+            try:
+                what(*told)
+            except Exception as fault:
+                self._guard_broke(fault)
+
+    def _guard_broke(self, fault: Exception) -> None:
+        """Open: orders of the module have kept the rules without a guard; none at all would break them."""
+        self._guarded = False
+        self._mode("no guard", True, "the guard broke and is off", cause=repr(fault))
+
     def _guard(self, now: int, message: Message) -> Message | None:
         """The message as it may go out now; None if it may not, or not yet."""
         proxy = message.proxy
         if not self._guarded or proxy not in self._shelves:
             return message
         began = time.perf_counter()
-        verdict, _ = self.watchman.judge(now, message, self._version(message), self.channel.waiting)
+        try:
+            verdict, _ = self.watchman.judge(now, message, self._version(message), self.channel.waiting)
+        except Exception as broken:
+            self._guard_broke(broken)
+            return message
         took = round((time.perf_counter() - began) * 1e6)
+        self._mode("slow guard", took > SLOW_US, "a check of the guard took long" if took > SLOW_US
+                   else "checks of the guard are quick again", took_us=took)  # fmt: skip
         if verdict.good and not verdict.rescue and not verdict.faults:
             self._guard_us.append(took)
             return message
@@ -430,8 +451,7 @@
         self.records.note(now, "sent", message=message.number, proxy=name, waiting=self.channel.waiting,
                           after=now - message.ordered, swapped=swapped)  # fmt: skip
         if self._shelves.get(proxy) is shelf:  # it may have left and come again while the disk worked
-            tables = self.watchman.tables(proxy, message.view)
-            self.watchman.sent(now, message, self._version(message), tables)
+            self._tell_guard(self.watchman.sent, now, message, self._version(message))
             if swapped:
                 self._put[proxy] = message.number
                 self._resend.setdefault(proxy, (now + RESEND, RESEND))
@@ -462,7 +482,7 @@
         self._known.update({host.id: (host.address, host.port, host.zone) for host in hosts})
         rows = [[h.id, "draining" if h.draining else "open", h.started] for h in hosts]
         self.records.note(now, "list", hosts=rows)
-        self.watchman.listed(now, hosts, self.clock.start_of)
+        self._tell_guard(self.watchman.listed, now, hosts, self.clock.start_of)
         self.director.list_began(now, True)
         for host in hosts:
             mode = "terminating" if host.draining else "in_service"
@@ -510,13 +530,13 @@
         self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh, term=term)
         self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh, term=term)
         self._use_hint(now, name, zone, term)
-        self.watchman.joined(proxy, zone, rate, held)
+        self._tell_guard(self.watchman.joined, proxy, zone, rate, held)
         self.director.proxy_joined(now, proxy, zone, rate, fresh)
 
     def left(self, proxy: int, name: str, why: str) -> None:
         now = self.clock.now()
         self._tell_peers(now, proxy, name)
-        self.watchman.left(proxy)
+        self._tell_guard(self.watchman.left, proxy)
         self._later.pop(proxy, None)
         self.book.leave(proxy)
         self.channel.forget(proxy)
@@ -539,7 +559,7 @@
         if not done:
             return
         del book[: len(done)]
-        self.watchman.applied(proxy, number)
+        self._tell_guard(self.watchman.applied, proxy, number)
         _, mark, ordered = done[-1]
         self.records.note(now, "applied", message=number, proxy=self._names[proxy], after=now - ordered)
         if mark >= 0:
@@ -614,7 +634,7 @@
 
     def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         self.director.calls_came(self.clock.now(), proxy, route, calls, dropped, window)
-        self.watchman.came(proxy, self._route_at[route], calls * SECOND / window)
+        self._tell_guard(self.watchman.came, proxy, self._route_at[route], calls * SECOND / window)
 
     def fault(self, name: str, cause: str) -> None:
         self.log.warning("bad file of a proxy", proxy=name, cause=cause)
--- a/willowhook/director/watchman.py
+++ b/willowhook/director/watchman.py
@@ -82,8 +82,9 @@
             self._sent[proxy] = [row for row in sent if row[0] > number]
             self.world.answered(proxy, done[-1])
 
-    def sent(self, now: int, message: Message, version: tuple[int, int, int], tables: Tables) -> None:
+    def sent(self, now: int, message: Message, version: tuple[int, int, int]) -> None:
         if message.proxy in self._sent:
+            tables = self.tables(message.proxy, message.view)
             self.world.sent(now, message.proxy, tables, version)
             self._sent[message.proxy].append((message.number, tables))
 
