--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -28,6 +28,7 @@
 @click.option(
     "--folder", type=click.Path(), default="", help="Where records go; a temporary one if not given."
 )
+@click.option("--guard", type=click.Choice(["on", "shadow", "off"]), default="on", show_default=True)
 def badday(
     seed: int,
     seeds: int,
@@ -36,6 +37,7 @@
     baselines: bool,
     at_once: int,
     durability: str,
+    guard: str,
     folder: str,
 ) -> None:
     """A scripted bad day: directors die, hosts fail, and the rules must hold."""
@@ -46,7 +48,14 @@
     make = days.short_day if short else partial(days.usual_day, length_s=length)
     names = days.BASELINES if baselines else ()
     rounds = days.many(
-        range(seed, seed + seeds), make, folder, names, at_once, click.echo, durability=durability
+        range(seed, seed + seeds),
+        make,
+        folder,
+        names,
+        at_once,
+        click.echo,
+        durability=durability,
+        guard=guard,
     )
     if seeds > 1:
         for line in days.summary(rounds):
@@ -65,9 +74,10 @@
     "--calls", type=click.FloatRange(1, 5000), default=110.0, show_default=True, help="Calls a second."
 )
 @click.option("--folder", type=click.Path(), default="")
+@click.option("--guard", type=click.Choice(["on", "shadow", "off"]), default="on", show_default=True)
 def replay(
     kinds: tuple[str, ...], seed: int, length: float, hosts: int, proxies: int, directors: int, calls: float,
-    folder: str,
+    guard: str, folder: str,
 ) -> None:  # fmt: skip
     """Let these KINDS of trouble strike the real director, one after the other; the bench's names do too."""
     import tempfile
@@ -84,7 +94,7 @@
     size = {"hosts": hosts, "proxies": proxies, "directors": directors, "calls_per_s": calls}
     day = days.replay_day(names, seed, length, **size)
     root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
-    done = days.one(day, root, (), click.echo)
+    done = days.one(day, root, (), click.echo, guard=guard)
     for line in days.report(done):
         click.echo(line)
     sys.exit(0 if done.director.kept else 1)
--- a/willowhook/director/watchman.py
+++ b/willowhook/director/watchman.py
@@ -34,6 +34,8 @@
         self._facts = facts
         self.world = World(terms)
         self.guard = Guard(self.world, shadow)
+        self._count = len(facts.routes)
+        self._made: dict[object, Tables] = {}  # by content
         self._held: dict[int, Held] = {}
         self._rates: dict[int, list[float]] = {}
         self._sent: dict[int, list[tuple[int, Tables]]] = {}  # by proxy: messages that were not answered yet
@@ -89,10 +91,22 @@
             self._sent[message.proxy].append((message.number, tables))
 
     def tables(self, proxy: int, view: View) -> Tables:
-        """What a message makes its proxy hold."""
+        """What a message makes its proxy hold; worked out once for all proxies that are to hold the same."""
+        serials = [state.serial for state in (view.bound.get(k) for k in range(self._count)) if state]
+        key = (*serials, view.serial) if len(serials) == self._count and all(serials) else None
+        made = self._made.get(key) if key is not None else None
+        if made is None:
+            made = self._work_out(proxy, view, key)
+            if key is not None:
+                if len(self._made) > 500:
+                    self._made.clear()
+                self._made[key] = made
+        return made
+
+    def _work_out(self, proxy: int, view: View, key: object) -> Tables:
         held = self._held.get(proxy)
         lines: list[Mapping[str, float]] = []
-        tries, levels, serials = [], [], []
+        tries, levels = [], []
         for k, route in enumerate(self._facts.routes):
             state = view.bound.get(k)
             if state is None:
@@ -104,9 +118,6 @@
             lines.append(state.lines)
             tries.append(order[0])
             levels.append(order[1])
-            serials.append(state.serial)
-        whole = len(serials) == len(lines)
-        key = (*serials, view.serial) if whole and all(serials) else None
         return Tables(tuple(lines), frozenset(view.withdrawn), tuple(tries), tuple(levels), key)
 
     def judge(
