One versioned core, desks and a staged roll-out; publishing in a part of its own

Orders become parts of shared, numbered resources; the file front publishes from them. What a proxy is known to run is a state by type; refused content is not sent again; many refusals stop a table and take it back. Publishing moved out of run.py; a crash there is gone: looking for unanswered files could meet a proxy that had left meanwhile (KeyError, seen once at 200 proxies). The front that answers calls is built but not yet tried; it is off by default. Swing of the guard no longer refuses one busy proxy that spreads its calls over the few hosts it has.

--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -124,6 +124,38 @@
     capacity_calls_per_s: dict[str, Positive] = {}  # by kind of host, where it is known
 
 
+class RolloutTerms(Part, frozen=True, kw_only=True):
+    """When a content of a table stops going out, and who gets the next one first."""
+
+    mode: Literal["after_refusal", "always", "never"] = "after_refusal"
+    refuse_share: Share = 0.03  # of those who answered: a larger share that refuses stops it
+    refuse_least: Annotated[int, Meta(ge=1, le=1_000_000)] = 2
+    canary_share: Share = 0.05
+    settle_ms: Positive = 2000
+    patience_ms: Positive = 15_000
+    worse_share: Share = 0.05  # by which more of the canaries' calls may fail than of others
+
+
+class FrontTerms(Part, frozen=True, kw_only=True):
+    """The front that answers proxies' calls; without `listen` there is none."""
+
+    listen: Annotated[str, Meta(pattern=r"^$|^[^: ]+:[0-9]+$")] = ""  # ADDRESS:PORT
+    identity: Literal["bearer", "none"] = "bearer"
+    credentials: str = ""  # a file: {"proxies": {NAME: SHA-256 of its token, in hex}}
+    wait_ms: Positive = 10_000  # a call without news is answered then
+    come_back_ms: Positive = 1000
+    connections_most: Annotated[int, Meta(ge=1, le=65_000)] = 4000
+    proxy_connections_most: Annotated[int, Meta(ge=4, le=1000)] = 12
+    header_ms: Positive = 5000
+    write_ms: Positive = 5000
+    idle_ms: Positive = 30_000
+    largest_ask_bytes: Annotated[int, Meta(ge=1024, le=1 << 26)] = 1 << 20
+    asks_per_s: Positive = 50
+    asks_burst: Positive = 100
+    compress_from_bytes: Annotated[int, Meta(ge=0, le=1 << 30)] = 1024
+    cache_bytes: Annotated[int, Meta(ge=0, le=1 << 34)] = 64 << 20
+
+
 class LinkTerms(Part, frozen=True, kw_only=True):
     """Links between directors, where an installation allows them; none is needed."""
 
@@ -151,3 +183,5 @@
     records: RecordTerms = RecordTerms()
     links: LinkTerms = LinkTerms()
     guard: GuardTerms = GuardTerms()
+    rollout: RolloutTerms = RolloutTerms()
+    front: FrontTerms = FrontTerms()
--- a/willowhook/director/channel.py
+++ b/willowhook/director/channel.py
@@ -20,17 +20,33 @@
         self._terms = terms
         self._queue: deque[Message] = deque()
         self._gone = 0  # messages to proxies that left, which still stand in the queue
-        self.waiting = 0  # lines
+        self._lines = 0  # in the queue
+        self._held: dict[int, int] = {}  # by proxy: lines that left, and that its next call is still to fetch
+        self._held_lines = 0
         self.most, self.most_messages = 0, 0  # ever
         self._free_at = 0.0  # when the line is free for the next message
         self._sent: dict[int, deque[int]] = {}  # by proxy, when its last messages left
 
+    @property
+    def waiting(self) -> int:
+        """Lines that wait to leave, or to be fetched."""
+        return self._lines + self._held_lines
+
+    def hold(self, proxy: int, lines: int) -> None:
+        """These left, and wait for the proxy's call; the newest message holds all."""
+        self.release(proxy)
+        self._held[proxy] = lines
+        self._held_lines += lines
+
+    def release(self, proxy: int) -> None:
+        self._held_lines -= self._held.pop(proxy, 0)
+
     def put(self, message: Message) -> bool:
         """False if more lines wait now than may."""
         if not self._queue:
             self._free_at = max(self._free_at, message.ordered)
         self._queue.append(message)
-        self.waiting += message.lines
+        self._lines += message.lines
         self.most = max(self.most, self.waiting)
         return self.waiting <= self._terms.most_waiting
 
@@ -44,7 +60,7 @@
         if due is None or due > now:
             return None
         message = self._queue.popleft()
-        self.waiting -= message.lines
+        self._lines -= message.lines
         self._free_at = due
         kept = True
         if self._terms.messages_most:
@@ -60,7 +76,8 @@
         """What waits for a proxy that left is lost; gives its messages' number."""
         before = len(self._queue)
         self._queue = deque(message for message in self._queue if message.proxy != proxy)
-        self.waiting = sum(message.lines for message in self._queue)
+        self._lines = sum(message.lines for message in self._queue)
+        self.release(proxy)
         self._sent.pop(proxy, None)
         return before - len(self._queue)
 
--- a/willowhook/director/intake.py
+++ b/willowhook/director/intake.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -30,7 +30,7 @@
     """Who is told.  Proxies go by number."""
 
     def joined(
-        self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held, term: int
+        self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held, term: int, web: bool
     ) -> None: ...
     def left(self, proxy: int, name: str, why: str) -> None: ...
     def applied(self, proxy: int, number: int) -> None: ...
@@ -55,23 +55,30 @@
     name: str
     term: int
     heard_at: int
+    web: bool = False  # it calls; otherwise it has a folder
     applied: int = 0  # the newest message known to be applied
     refused: dict[str, int] = field(default_factory=dict)
 
 
 class Intake:
-    def __init__(self, ear: Ear, director: str, epoch: int, routes: tuple[str, ...], lost_after: int) -> None:
+    """`newest()`: the last message ordered; no proxy can have applied a later one."""
+
+    def __init__(
+        self, ear: Ear, director: str, epoch: int, routes: tuple[str, ...], lost_after: int,
+        newest: Callable[[], int],
+    ) -> None:  # fmt: skip
         self._ear, self._director, self._epoch = ear, director, epoch
         self._routes, self._lost_after = frozenset(routes), lost_after
         self._numbers: dict[str, int] = {}
         self.present: dict[str, Presence] = {}
         self._bad: dict[str, str] = {}  # by proxy: the file that was last found bad
         self._overdue = Wheel(max(lost_after // 20, 1), 64, 0)
-        self.newest = 0  # the last message ordered; no proxy can have applied a later one
+        self._newest = newest
 
     def appeared(
-        self, now: int, name: str, files: Mapping[str, bytes], lies: Mapping[str, bytes] | None = None
-    ) -> bool:
+        self, now: int, name: str, files: Mapping[str, bytes], lies: Mapping[str, bytes] | None = None,
+        web: bool = False,
+    ) -> bool:  # fmt: skip
         """A proxy's folder is there, with these files.  False if they do not make a proxy yet.
 
         `lies`: the group that a director of before left for this proxy; if it is of this stay, the proxy
@@ -108,10 +115,10 @@
             self._found_bad(name, STATUS, str(fault))
             return False
         self._bad.pop(name, None)
-        self.present[name] = Presence(number, name, term, now)
+        self.present[name] = Presence(number, name, term, now, web)
         self._overdue.set(name, now + self._lost_after + 1)
         fresh = not any(request.version_info for request in requests)
-        self._ear.joined(number, name, status.node.locality.zone, rate, fresh, held, term)
+        self._ear.joined(number, name, status.node.locality.zone, rate, fresh, held, term, web)
         return True
 
     def gone(self, now: int, name: str, why: str) -> None:
@@ -120,6 +127,13 @@
             self._overdue.drop(name)
             self._ear.left(presence.number, name, why)
 
+    def called(self, now: int, name: str) -> None:
+        """A proxy that is here has called: a sign of life."""
+        presence = self.present.get(name)
+        if presence is not None:
+            presence.heard_at = now
+            self._overdue.set(name, now + self._lost_after + 1)
+
     def look(self, now: int) -> None:
         """Proxies that have said nothing for too long have left."""
         for name in self._overdue.overdue(now):
@@ -208,8 +222,8 @@
         if (version.term, version.epoch) != (presence.term, self._epoch):
             return  # what was sent in another stay, or by another before this one
         number = version.number
-        if number > self.newest:
-            raise FormError(f"response_nonce is of message {number}, and {self.newest} is the last")
+        if number > self._newest():
+            raise FormError(f"response_nonce is of message {number}, and {self._newest()} is the last")
         if request.error_detail is not None:
             if presence.refused.get(kind) != number:
                 presence.refused[kind] = number
--- a/willowhook/director/render.py
+++ b/willowhook/director/render.py
@@ -1,26 +1,27 @@
-"""What a proxy is to hold, as the bytes of its three files.
+"""What a proxy is to hold, as resources of the published types; a table is encoded once for all who use it.
 
-A table is encoded once for all who use it.  A file whose resources are the same as before keeps its version,
-so that a swap touches only what changed.  No I/O.
+No I/O.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ..config.facts import SEMANTICS
 from ..config.terms import Terms
-from ..membership.claim import Version, safe_tries
+from ..membership.claim import safe_tries
+from ..versions.core import Resource
 from ..xds import forms, tables
-from ..xds.codec import FormError, decode, encode, response
+from ..xds.codec import FormError, decode, encode
 from .book import TableState, View
 
-FILE = ".json"
 DIRECTORS = "directors"  # the table of directors, whose only line is this one, draining
+CALLS = "calls"  # the one set of routes
 Address = tuple[str, int, str]  # address, port, zone
+Rows = dict[str, list[tuple[str, bytes]]]  # by type: names and bodies
 Row = tuple[forms.Route, bytes, str]  # what a proxy held for a route: its route, cluster, and table's name
 
 
@@ -41,6 +42,15 @@
         rows = [line for table in self.assignments.values() for line in tables.lines(table)]
         return frozenset(line[0] for line in rows if line[5])
 
+    def resources(self) -> Rows:
+        """All of it, by type."""
+        clusters = {row.route.cluster: body for row, body, _ in self.rows.values()}
+        routes = forms.RouteConfiguration(CALLS, [forms.VirtualHost("all", ["*"], [
+            row for row, _, _ in self.rows.values()
+        ])])  # fmt: skip
+        made = {"eds": [(name, encode(table)) for name, table in self.assignments.items()]}
+        return made | {"cds": list(clusters.items()), "rds": [(CALLS, encode(routes))] if self.rows else []}
+
     def hosts(self, route: str) -> frozenset[str]:
         row = self.rows.get(route)
         table = self.assignments.get(row[2]) if row else None
@@ -72,14 +82,6 @@
     return held
 
 
-@dataclass(slots=True)
-class Files:
-    """The files of one proxy as they were last rendered."""
-
-    resources: dict[str, list[bytes]] = field(default_factory=dict)
-    bodies: dict[str, bytes] = field(default_factory=dict)
-
-
 class Renderer:
     def __init__(self, terms: Terms, epoch: int) -> None:
         self._terms, self._epoch = terms, epoch
@@ -95,9 +97,11 @@
             self._addresses = addresses
             self._generation += 1
 
-    def files(self, term: int, number: int, view: View, held: Held, last: Files) -> dict[str, bytes]:
-        """The files by name; those that a proxy keeps as they are, unbound as it is, are left out."""
-        assignments, clusters, rows = dict[str, bytes](), list[bytes](), list[bytes]()
+    def rows(self, view: View, held: Held) -> Rows:
+        """By type its resources, name and JSON; types that a proxy keeps as they are, unbound as it is, are
+        left out.
+        """
+        assignments, clusters, rows = dict[str, bytes](), dict[str, bytes](), list[bytes]()
         routes = sorted(enumerate(self._terms.routes), key=lambda row: -len(row[1].path))
         for k, route in routes:
             state = view.bound.get(k)
@@ -105,29 +109,27 @@
                 name = f"{self._prefix}.t{state.number}"
                 if name not in assignments:
                     assignments[name] = self._table(name, state, view)
-                clusters.append(self._cluster(f"{route.name}@{name}", name))
-                rows.append(self._route(k, f"{route.name}@{name}", state, view))
+                to = f"{route.name}@{name}"
+                clusters[to] = self._cluster(to, name)
+                rows.append(self._route(k, to, state, view))
             elif route.name in held.rows:
                 row, body, name = held.rows[route.name]
                 if name not in assignments and name in held.assignments:
-                    assignments[name] = self._drained(held.assignments[name], view)
-                clusters.append(body)
+                    assignments[name] = self._drained(held.assignments[name], view.withdrawn)
+                clusters[row.route.cluster] = body
                 rows.append(encode(row))
-        if view.leave:
-            assignments[DIRECTORS] = self._away()
-        made = {"eds": list(assignments.values())}
+        made = {"eds": list(assignments.items())}
         if view.bound:
-            made["cds"] = clusters
-            made["rds"] = [self._route_set(rows)]
-        version = str(Version(term, self._epoch, number))
-        for kind, resources in made.items():
-            if last.resources.get(kind) != resources:
-                last.resources[kind] = resources
-                last.bodies[kind + FILE] = response(version, forms.FILES[kind], version, resources)
-        return {kind + FILE: last.bodies[kind + FILE] for kind in made}
-
-    def _away(self) -> bytes:
-        """This director as one that drains: the proxy is to follow another."""
+            made["cds"] = list(clusters.items())
+            made["rds"] = [(CALLS, self._route_set(rows))]
+        return made
+
+    def table_name(self, number: int) -> str:
+        """The resource under which the module's table of this number goes out."""
+        return f"{self._prefix}.t{number}"
+
+    def away(self) -> bytes:
+        """This director as a table of one that drains: the proxy is to follow another."""
         at = forms.Address(pipe=forms.Pipe(self._terms.files.folder))
         row = forms.LbEndpoint(forms.Endpoint(at, self._terms.name), forms.DRAINING)
         return encode(forms.ClusterLoadAssignment(DIRECTORS, [forms.LocalityLbEndpoints(lb_endpoints=[row])]))
@@ -143,11 +145,18 @@
         return body
 
     @staticmethod
-    def _drained(table: forms.ClusterLoadAssignment, view: View) -> bytes:
+    def _drained(table: forms.ClusterLoadAssignment, withdrawn: Collection[str]) -> bytes:
         """A table of before, with what is withdrawn now: the proxy has heard of nothing else from here."""
-        rows = [(*line[:5], line[0] in view.withdrawn or line[5]) for line in tables.lines(table)]
+        rows = [(*line[:5], line[0] in withdrawn or line[5]) for line in tables.lines(table)]
         return encode(tables.assignment(table.cluster_name, rows))
 
+    def drained(self, row: Resource, withdrawn: frozenset[str]) -> bytes:
+        """The same of a resource; as it is if that takes nothing out."""
+        table = decode(row.body, forms.ClusterLoadAssignment)
+        if not any(line[0] in withdrawn and not line[5] for line in tables.lines(table)):
+            return row.body
+        return self._drained(table, withdrawn)
+
     def _cluster(self, name: str, table: str) -> bytes:
         body = self._rows.get(name)
         if body is None:
@@ -180,4 +189,17 @@
     def _route_set(rows: list[bytes]) -> bytes:
         routes = [msgspec.Raw(row) for row in rows]
         host = {"name": "all", "domains": ["*"], "routes": routes}
-        return encode({"@type": forms.ROUTES, "name": "calls", "virtual_hosts": [host]})
+        return encode({"@type": forms.ROUTES, "name": CALLS, "virtual_hosts": [host]})
+
+
+def uses(row: Resource) -> tuple[str, ...]:
+    """The clusters that routes lead to, or a cluster's table."""
+    if row.uses is None:
+        row.uses = ()
+        if row.kind == "rds":
+            hosts = decode(row.body, forms.RouteConfiguration).virtual_hosts
+            row.uses = tuple(dict.fromkeys(r.route.cluster for host in hosts for r in host.routes))
+        elif row.kind == "cds":
+            cluster = decode(row.body, forms.Cluster)
+            row.uses = (cluster.eds_cluster_config.service_name or cluster.name,)
+    return row.uses
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -9,9 +9,7 @@
 import heapq
 import os
 import time
-from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -29,17 +27,19 @@
 from ..roster.forms import Host
 from ..rules import Director
 from ..state import Ring
+from ..versions.core import Core, first_era
 from ..web.wire import Broken, Caller, dial
 from ..xds import orca
 from ..xds.codec import FormError
 from .book import Message, OrderBook
-from .channel import Channel
 from .intake import Intake
 from .links import Post, listen, read, write
 from .list_feed import ListFeed
+from .outlets import FileOutlet, Outlet
 from .proxy_feed import ProxyFeed
-from .render import Address, Files, Held, Renderer
-from .watchman import HELD, SPLIT, Watchman, guard_terms, records_of
+from .publish import Publisher, Reader
+from .render import Address, Held, Renderer
+from .web_feed import WebFeed
 
 SECOND = 10_000
 MET_BUCKETS = 5  # seconds of what was met, that are handed on
@@ -106,23 +106,17 @@
         self.log = (log or structlog.get_logger()).bind(director=terms.name)
         self.folder = Folder(terms.files.folder, self.ops)
         self.records = Records(terms.records.file, terms.records.most_waiting)
-        self.channel = Channel(self.facts.channel)
         self._send, self._receive = trio.open_memory_channel[Event](10_000)
         self._timers: list[tuple[int, int, int]] = []
         self._timer_count = 0
-        self._woken = trio.Event()  # the publisher has something to do
         self._probes_out = 0
         self._decided_at = 0
         self._names: dict[int, str] = {}
         self._hosts: dict[str, Host] = {}
         self._by_address: dict[str, str] = {}
-        self._shelves: dict[int, Shelf] = {}
-        self._files: dict[int, Files] = {}
-        self._held: dict[int, Held] = {}
         self._joins = 0
         self._route_at = {route.name: k for k, route in enumerate(terms.routes)}
         self._terms_of: dict[int, int] = {}  # of each proxy's stay
-        self._resend: dict[int, tuple[int, int]] = {}  # by proxy: when to look for its answer, and the wait
         self._draining = False
         self._met: dict[int, dict[str, Ring]] = {}  # by proxy and host: tries, errors, time of the answered
         links = terms.links
@@ -130,17 +124,7 @@
         self._hints = Listener(lasts)
         self._posts = [Post(url, links.timeout_ms / 1000) for url in links.peers]
         self._tellers: list[Teller] = []
-        self.link_port = 0
-        made = guard_terms(
-            self.facts, terms.guard.cold_part, terms.guard.swing, terms.guard.capacity_calls_per_s
-        )
-        self.watchman = Watchman(self.facts, made, terms.guard.mode == "shadow")
-        self._guarded = terms.guard.mode != "off"
-        self._later: dict[int, tuple[int, Message]] = {}  # held by the guard, until when
-        self._unsent: dict[int, Message] = {}  # whose swap failed: the newest, which holds all
-        self._marks: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: message, mark, when ordered
-        self._guard_us: deque[int] = deque(maxlen=10_000)
-        self._put: dict[int, int] = {}  # by proxy: the message whose files lie there
+        self.link_port = self.front_port = 0
         self._known: dict[str, Address] = {}  # of all hosts ever listed
         self._modes: dict[str, bool] = {}
         self._noted_at = 0
@@ -156,8 +140,21 @@
         epoch = self.folder.epoch
         self.renderer = Renderer(terms, epoch)
         routes = tuple(route.name for route in terms.routes)
-        self.intake = Intake(self, terms.name, epoch, routes, ticks(terms.files.proxy_lost_after_ms))
         self.book = OrderBook(self.facts, self._ordered)
+        self.core = Core(first_era(epoch, int.from_bytes(os.urandom(3), "big")))
+        self.publisher = Publisher(
+            terms, self.facts, self, self.records, self.log, self.core, self.renderer, epoch, self.book
+        )
+        self.channel, self.watchman = self.publisher.channel, self.publisher.watchman
+        self.intake = Intake(
+            self, terms.name, epoch, routes, ticks(terms.files.proxy_lost_after_ms), lambda: self.book.count
+        )
+        self.web: WebFeed | None = None
+        if terms.front.listen:
+            report_s = terms.fleet.report_every_ms / 1000
+            self.web = WebFeed(
+                terms.name, terms.front, report_s, self.core, self.publisher, self.intake, self._send.send
+            )
         self.lists = ListFeed(terms, self.folder.path, self.ops, self._mode, self._hand_list, self._hand_loss)
         now = self.clock.now()
         self.director = self._decider(Orders(self), self.facts, terms.seed * 1000 + epoch, now)
@@ -173,12 +170,16 @@
                 nursery.start_soon(self._beat)
                 nursery.start_soon(self.lists.follow)
                 nursery.start_soon(self.lists.fetch_whole)
-                nursery.start_soon(self._publish)
+                nursery.start_soon(self.publisher.run)
                 nursery.start_soon(self.proxies.run)
                 nursery.start_soon(self._decide)
                 for k in range(len(self._posts)):
                     first, lasts = SECOND // 5, ticks(terms.links.lasts_ms)
                     self._tellers.append(Teller(terms.name, epoch, partial(self._hand_on, k), first, lasts))
+                if self.web is not None:
+                    front: Any = await nursery.start(self.web.run)
+                    self.front_port = int(front)
+                    self.log.info("answers calls", port=self.front_port)
                 if terms.links.listen:
                     port: Any = await nursery.start(listen, terms.links, self._handed)
                     self.link_port = int(port)
@@ -193,7 +194,7 @@
 
     def _note_guard(self) -> None:
         """What the guard did in this life, and what a check cost."""
-        took = sorted(self._guard_us) or [0]
+        took = sorted(self.publisher.guard_us) or [0]
         self.records.note(
             self.clock.now(), "guarded", counts=self.watchman.counts, median_us=took[len(took) // 2],
             p99_us=took[int(len(took) * 0.99)],
@@ -255,7 +256,7 @@
                 self.director.timer_due(now, heapq.heappop(self._timers)[2])
             self.director.moment_over(now)
             self.book.moment_over(now)
-            self._woken.set()
+            self.publisher.wake()
             if now - last_look >= SECOND // 10:
                 last_look = now
                 self.intake.look(now)
@@ -272,7 +273,7 @@
             self._noted_at = now // SECOND
             if isinstance(self.director, Director):
                 sizes = {name: up.size for name, up in self.director.hosts.items()}
-                self._tell_guard(self.watchman.learnt, sizes)
+                self.publisher.tell_guard(self.watchman.learnt, sizes)
             self.records.note(
                 now, "queue", believed=round(believed, 1), waiting=true, messages=len(self.channel)
             )
@@ -305,167 +306,24 @@
     # The channel and the files.
 
     def _ordered(self, message: Message) -> None:
-        kept = self.channel.put(message)
-        self.intake.newest = message.number
-        self._mode("queue", not kept, "queue over its limit" if not kept else "queue within its limit",
-                   waiting=self.channel.waiting, most=self.facts.channel.most_waiting)  # fmt: skip
-        name = self._names.get(message.proxy, "")
-        self.records.note(message.ordered, "order", message=message.number, mark=message.mark, proxy=name,
-                          lines=message.lines)  # fmt: skip
-
-    async def _publish(self) -> None:
-        """Messages leave in turn; one whose swap fails is tried again until a later one holds it."""
-        retry_at = 0
-        while True:
-            now = self.clock.now()
-            while (taken := self.channel.take(now)) is not None:
-                message, kept = taken
-                if not kept:
-                    self._mode("cap", True, "more messages to one proxy than allowed", proxy=message.proxy)
-                self._later.pop(message.proxy, None)  # a later message holds all of it
-                allowed = self._guard(now, message)
-                if allowed is None or await self._swap(allowed):
-                    self._unsent.pop(message.proxy, None)
-                else:
-                    self._unsent[message.proxy] = message
-                    retry_at = now + SECOND // 5
-                now = self.clock.now()
-            if self._unsent and now >= retry_at:
-                for proxy, message in list(self._unsent.items()):
-                    allowed = self._guard(now, message)
-                    if allowed is None or await self._swap(allowed):
-                        self._unsent.pop(proxy, None)
-                retry_at = self.clock.now() + SECOND // 5
-            for message in self._due_later(now):
-                allowed = self._guard(now, message)
-                if allowed is not None and not await self._swap(allowed):
-                    self._unsent[message.proxy] = allowed
-                    retry_at = now + SECOND // 5
-            await self._look_for_answers(now)
-            due = self.channel.due()
-            waits = [due - now] if due is not None else []
-            waits += [retry_at - now] if self._unsent else []
-            waits += [min(at for at, _ in self._later.values()) - now] if self._later else []
-            self._woken = trio.Event()
-            with trio.move_on_after(max(min(waits, default=SECOND), 0) / SECOND):
-                await self._woken.wait()
-
-    def _due_later(self, now: int) -> list[Message]:
-        """What the guard held until now, under numbers of its own: a first step may have had theirs."""
-        found = []
-        for proxy, (at, message) in list(self._later.items()):
-            if now >= at:
-                del self._later[proxy]
-                if not self.channel.has(proxy):  # else what waits there holds all of it
-                    number = self.intake.newest = self.book.next_number()
-                    found.append(replace(message, number=number, mark=-1))
-        return found
-
-    def _version(self, message: Message) -> tuple[int, int, int]:
-        return self._terms_of[message.proxy], self.folder.epoch, message.number
-
-    def _tell_guard(self, what: Callable[..., None], *told: Any) -> None:
-        """The guard's world is kept; if that breaks, what it says is worth nothing and it is off."""
-        if self._guarded:
-            try:
-                what(*told)
-            except Exception as fault:
-                self._guard_broke(fault)
-
-    def _guard_broke(self, fault: Exception) -> None:
-        """Open: orders of the module have kept the rules without a guard; none at all would break them."""
-        self._guarded = False
-        self._mode("no guard", True, "the guard broke and is off", cause=repr(fault))
-
-    def _guard(self, now: int, message: Message) -> Message | None:
-        """The message as it may go out now; None if it may not, or not yet."""
-        proxy = message.proxy
-        if not self._guarded or proxy not in self._shelves:
-            return message
-        began = time.perf_counter()
-        try:
-            verdict, _ = self.watchman.judge(now, message, self._version(message), self.channel.waiting)
-        except Exception as broken:
-            self._guard_broke(broken)
-            return message
-        took = round((time.perf_counter() - began) * 1e6)
-        self._mode("slow guard", took > SLOW_US, "a check of the guard took long" if took > SLOW_US
-                   else "checks of the guard are quick again", took_us=took)  # fmt: skip
-        if verdict.good and not verdict.rescue and not verdict.faults:
-            self._guard_us.append(took)
-            return message
-        name = self._names[proxy]
-        self.records.note(
-            now, "guard", message=message.number, proxy=name, took_us=took, **records_of(verdict)
-        )
-        for fault in verdict.faults:
-            self._mode("guard", True, "a check of the guard broke", cause=fault)
-        if verdict.good:
-            return message
-        why = verdict.findings[0].line()
-        self.log.warning("held by the guard" if verdict.what in (HELD, SPLIT) else "refused by the guard",
-                         proxy=name, message=message.number, verdict=verdict.what, cause=why)  # fmt: skip
-        if verdict.what in (HELD, SPLIT):
-            until = verdict.until() or max((step.at for step in verdict.steps), default=now + SECOND)
-            self._later[proxy] = (max(until, now + SECOND // 10), message)
-        return self.watchman.first_step(message, verdict) if verdict.what == SPLIT else None
-
-    async def _look_for_answers(self, now: int) -> None:
-        """Files that nobody answered are put in place again: a late rename of another may lie over them."""
-        for proxy, (due, wait) in list(self._resend.items()):
-            if now < due:
-                continue
-            lies, presence = self._put.get(proxy, 0), self.intake.present.get(self._names[proxy])
-            shelf = self._shelves.get(proxy)
-            if shelf is None or presence is None or presence.applied >= lies:
-                del self._resend[proxy]
-                continue
-            self._resend[proxy] = (now + 2 * wait, min(2 * wait, 30 * SECOND))
-            try:
-                files, shelf.held = shelf.held, {}
-                if files:
-                    await trio.to_thread.run_sync(shelf.put, files)
-                    name = self._names[proxy]
-                    self.records.note(now, "again", proxy=name, message=lies)
-            except OSError:
-                continue  # the disk's trouble is told where orders are swapped
-
-    async def _swap(self, message: Message) -> bool:
-        """Puts a message in place.  True also if its proxy has left: it is nobody's any more."""
-        proxy = message.proxy
-        shelf, name = self._shelves.get(proxy), self._names.get(proxy, "")
-        if shelf is None:
-            return True
-        term = self._terms_of[proxy]
-        files = self.renderer.files(term, message.number, message.view, self._held[proxy], self._files[proxy])
-        try:
-            if self.terms.files.durability == "none":
-                swapped = shelf.put(files)
-            else:  # a disk may take its time: the loop does not wait for it
-                swapped = await trio.to_thread.run_sync(shelf.put, files)
-        except OSError as fault:
-            self._mode("disk", True, "files cannot be swapped", proxy=name, cause=str(fault))
-            return False
-        self._mode("disk", False, "files can be swapped again", proxy=name)
-        now = self.clock.now()
-        self.records.note(now, "sent", message=message.number, proxy=name, waiting=self.channel.waiting,
-                          after=now - message.ordered, swapped=swapped)  # fmt: skip
-        if self._shelves.get(proxy) is shelf:  # it may have left and come again while the disk worked
-            self._tell_guard(self.watchman.sent, now, message, self._version(message))
-            if swapped:
-                self._put[proxy] = message.number
-                self._resend.setdefault(proxy, (now + RESEND, RESEND))
-            # where nothing that shows has changed, the answer to what lies there answers this too
-            lies = self._put.get(proxy, 0)
-            self._marks[proxy].append((lies, message.mark, message.ordered))
-            if not swapped:
-                await self._send.send(lambda now: self._answered_already(proxy, lies))
-        return True
+        self.publisher.put(message)
+
+    def mode(self, name: str, on: bool, text: str, **parts: Any) -> None:
+        self._mode(name, on, text, **parts)
 
-    def _answered_already(self, proxy: int, number: int) -> None:
-        presence = self.intake.present.get(self._names[proxy])
-        if presence is not None and presence.applied >= number:
-            self.applied(proxy, number)
+    def now(self) -> int:
+        return self.clock.now()
+
+    def is_open(self, host: str) -> bool:
+        """Whether the last list showed it as open."""
+        entry = self._hosts.get(host)
+        return entry is not None and not entry.draining
+
+    def answered(self, now: int, proxy: int, mark: int, took: int) -> None:
+        self.director.mark_answered(now, proxy, mark, took)
+
+    async def soon(self, event: Event) -> None:
+        await self._send.send(event)
 
     # The roster.
 
@@ -482,7 +340,7 @@
         self._known.update({host.id: (host.address, host.port, host.zone) for host in hosts})
         rows = [[h.id, "draining" if h.draining else "open", h.started] for h in hosts]
         self.records.note(now, "list", hosts=rows)
-        self._tell_guard(self.watchman.listed, now, hosts, self.clock.start_of)
+        self.publisher.tell_guard(self.watchman.listed, now, hosts, self.clock.start_of)
         self.director.list_began(now, True)
         for host in hosts:
             mode = "terminating" if host.draining else "in_service"
@@ -512,37 +370,36 @@
     # The intake's ear.
 
     def joined(
-        self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held, term: int
+        self, proxy: int, name: str, zone: str, rate: float, fresh: bool, held: Held, term: int, web: bool
     ) -> None:
         now = self.clock.now()
         self._terms_of[proxy] = term
         self._joins += 1
-        self._names[proxy], self._held[proxy], self._files[proxy] = name, held, Files()
-        series = f"{self.folder.epoch}-{self._joins}-"
-        shelf = self._shelf(f"{self.folder.down}/{name}", self.ops, self.terms.files.durability, series)
-        try:
-            shelf.open()
-        except OSError as fault:
-            self._mode("disk", True, "files cannot be swapped", proxy=name, cause=str(fault))
-        self._shelves[proxy], self._marks[proxy] = shelf, []
+        self._names[proxy] = name
+        self.publisher.joined(
+            Reader(proxy, name, term, held, self._outlet(proxy, name, term, held, web), web)
+        )
         hosts = {k: held.hosts(route.name) for k, route in enumerate(self.terms.routes)}
         self.book.join(proxy, zone, hosts, rate)
         self.records.note(now, "joined", proxy=name, zone=zone, rate=rate, fresh=fresh, term=term)
         self.log.info("proxy joined", proxy=name, zone=zone, fresh=fresh, term=term)
         self._use_hint(now, name, zone, term)
-        self._tell_guard(self.watchman.joined, proxy, zone, rate, held)
+        self.publisher.tell_guard(self.watchman.joined, proxy, zone, rate, held)
         self.director.proxy_joined(now, proxy, zone, rate, fresh)
 
     def left(self, proxy: int, name: str, why: str) -> None:
         now = self.clock.now()
         self._tell_peers(now, proxy, name)
-        self._tell_guard(self.watchman.left, proxy)
-        self._later.pop(proxy, None)
+        web = self.publisher.readers[proxy].web
+        self.publisher.left(proxy)
         self.book.leave(proxy)
-        self.channel.forget(proxy)
-        books: tuple[dict[int, Any], ...] = (self._shelves, self._files, self._held, self._marks)
-        for known in (*books, self._unsent, self._put, self._resend):
-            known.pop(proxy, None)
+        if web:
+            if self.web is not None:
+                self.web.left(proxy, name)
+            self.records.note(now, "left", proxy=name, why=why)
+            self.log.info("proxy left", proxy=name, why=why)
+            self.director.proxy_left(now, proxy)
+            return
         self.proxies.forget(name)
         try:
             remove(self.ops, f"{self.folder.down}/{name}")
@@ -552,23 +409,23 @@
         self.log.info("proxy left", proxy=name, why=why)
         self.director.proxy_left(now, proxy)
 
+    def _outlet(self, proxy: int, name: str, term: int, held: Held, web: bool) -> Outlet:
+        if web and self.web is not None:
+            return self.web.outlet(proxy, name, held)
+        series = f"{self.folder.epoch}-{self._joins}-"
+        durability = self.terms.files.durability
+        shelf = self._shelf(f"{self.folder.down}/{name}", self.ops, durability, series)
+        try:
+            shelf.open()
+        except OSError as fault:
+            self._mode("disk", True, "files cannot be swapped", proxy=name, cause=str(fault))
+        return FileOutlet(shelf, self.core, term, self.folder.epoch, durability != "none")
+
     def applied(self, proxy: int, number: int) -> None:
-        """The module is told of the newest mark that this proves to have been applied."""
-        now, book = self.clock.now(), self._marks.get(proxy, [])
-        done = [row for row in book if row[0] <= number]
-        if not done:
-            return
-        del book[: len(done)]
-        self._tell_guard(self.watchman.applied, proxy, number)
-        _, mark, ordered = done[-1]
-        self.records.note(now, "applied", message=number, proxy=self._names[proxy], after=now - ordered)
-        if mark >= 0:
-            self.director.mark_answered(now, proxy, mark, now - ordered)
+        self.publisher.applied(self.clock.now(), proxy, number)
 
     def refused(self, proxy: int, kind: str, number: int, cause: str) -> None:
-        name = self._names[proxy]
-        self.log.warning("refused by a proxy", proxy=name, form=kind, message=number, cause=cause)
-        self.records.note(self.clock.now(), "refused", proxy=name, form=kind, message=number, cause=cause)
+        self.publisher.refused_group(self.clock.now(), proxy, kind, number, cause)
 
     # Handoff, where there are links.
 
@@ -625,6 +482,7 @@
         host = self._by_address.get(address)
         if host is not None:
             zone = self.book.members[proxy].zone
+            self.publisher.rollout.met(self.clock.now(), proxy, tries, errors)
             if self._posts:
                 ring = self._met.setdefault(proxy, {}).get(host)
                 if ring is None:
@@ -634,8 +492,10 @@
 
     def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         self.director.calls_came(self.clock.now(), proxy, route, calls, dropped, window)
-        self._tell_guard(self.watchman.came, proxy, self._route_at[route], calls * SECOND / window)
+        self.publisher.tell_guard(self.watchman.came, proxy, self._route_at[route], calls * SECOND / window)
 
     def fault(self, name: str, cause: str) -> None:
+        if self.web is not None:
+            self.web.fault(name, cause)
         self.log.warning("bad file of a proxy", proxy=name, cause=cause)
         self.records.note(self.clock.now(), "fault", proxy=name, cause=cause)
--- /dev/null
+++ b/willowhook/front/__init__.py
@@ -0,0 +1,1 @@
+"""The front that answers proxies' calls: who calls, what it may, in which order, and with which bytes."""
--- a/willowhook/guard/guard.py
+++ b/willowhook/guard/guard.py
@@ -368,7 +368,7 @@
             if host is None or before + more <= part * host.size / 2 or more <= before * 0.02:
                 continue
             calls, limit = before + more + self.world.elsewhere(host), part * host.size
-            if calls <= limit:
+            if calls <= limit or self._alone(candidate.proxy, shares, name, before, usual * host.size):
                 continue
             count = len(self.world.hosts) - len(self.world.shut)
             whole = sum(self.world.total) * self.world.others()
@@ -376,6 +376,16 @@
             mend = f"spread them: {count} hosts are open"
             verdict.add(Finding("swing", REFUSED, 0, text, mend, "", name, calls, limit))
 
+    def _alone(self, proxy: object, shares: Shares, name: str, before: float, even: float) -> bool:
+        """Whether one busy proxy spreads its calls over the few hosts it has: what came before is no more
+        than an even part, and the host gets at most twice its part of the proxy's own calls.
+        """
+        if before > even or len(self.world.proxies) < 2:
+            return False
+        own = sum(self.world.proxies[proxy].rates)
+        widest = max(len(row) for row in shares.by_route if name in row)
+        return widest > 1 and self._own(proxy, shares, name) <= 2 * own / widest
+
     # Rule 5.
 
     def check_queue(self, now: int, candidate: Candidate, shares: Shares, verdict: Verdict) -> None:
--- a/willowhook/xds/forms.py
+++ b/willowhook/xds/forms.py
@@ -227,6 +227,37 @@
     error_detail: Status | None = None
 
 
+class Resource(Form):
+    """One resource of a difference; `resource` has its type in it."""
+
+    name: str = ""
+    version: str = ""
+    resource: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class DeltaDiscoveryRequest(Form):
+    node: Node = msgspec.field(default_factory=Node)
+    type_url: str = ""
+    resource_names_subscribe: list[str] = msgspec.field(default_factory=list)
+    resource_names_unsubscribe: list[str] = msgspec.field(default_factory=list)
+    initial_resource_versions: dict[str, str] = msgspec.field(default_factory=dict)
+    response_nonce: str = ""
+    error_detail: Status | None = None
+
+
+class DeltaDiscoveryResponse(Form):
+    system_version_info: str = ""
+    resources: list[Resource] = msgspec.field(default_factory=list)
+    type_url: str = ""
+    removed_resources: list[str] = msgspec.field(default_factory=list)
+    nonce: str = ""
+
+
+class LoadStatsResponse(Form):
+    send_all_clusters: bool = False
+    load_reporting_interval: str = ""
+
+
 class LoadMetricStats(Form):
     metric_name: str = ""
     num_requests_finished_with_metric: int = 0
