The second front: proxies ask by calls that wait, whole or by difference

Stand-in proxies speak it (--front calls|mixed), a checker holds what a director believes against what proxies noted.

--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -29,6 +29,7 @@
     "--folder", type=click.Path(), default="", help="Where records go; a temporary one if not given."
 )
 @click.option("--guard", type=click.Choice(["on", "shadow", "off"]), default="on", show_default=True)
+@click.option("--front", type=click.Choice(["files", "calls", "mixed"]), default="files", show_default=True)
 def badday(
     seed: int,
     seeds: int,
@@ -38,6 +39,7 @@
     at_once: int,
     durability: str,
     guard: str,
+    front: str,
     folder: str,
 ) -> None:
     """A scripted bad day: directors die, hosts fail, and the rules must hold."""
@@ -56,6 +58,7 @@
         click.echo,
         durability=durability,
         guard=guard,
+        front=front,
     )
     if seeds > 1:
         for line in days.summary(rounds):
@@ -75,9 +78,10 @@
 )
 @click.option("--folder", type=click.Path(), default="")
 @click.option("--guard", type=click.Choice(["on", "shadow", "off"]), default="on", show_default=True)
+@click.option("--front", type=click.Choice(["files", "calls", "mixed"]), default="files", show_default=True)
 def replay(
     kinds: tuple[str, ...], seed: int, length: float, hosts: int, proxies: int, directors: int, calls: float,
-    guard: str, folder: str,
+    guard: str, front: str, folder: str,
 ) -> None:  # fmt: skip
     """Let these KINDS of trouble strike the real director, one after the other; the bench's names do too."""
     import tempfile
@@ -94,7 +98,7 @@
     size = {"hosts": hosts, "proxies": proxies, "directors": directors, "calls_per_s": calls}
     day = days.replay_day(names, seed, length, **size)
     root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
-    done = days.one(day, root, (), click.echo, guard=guard)
+    done = days.one(day, root, (), click.echo, guard=guard, front=front)
     for line in days.report(done):
         click.echo(line)
     sys.exit(0 if done.director.kept else 1)
@@ -205,3 +209,40 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command()
+@click.option("--proxies", type=click.IntRange(2, 2000), default=200, show_default=True)
+@click.option("--length", type=click.FloatRange(15, 3600), default=60.0, show_default=True, help="Seconds.")
+@click.option("--refuse", type=click.FloatRange(0, 0.5), default=0.01, show_default=True,
+              help="Share of versions that a proxy refuses.")  # fmt: skip
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def versions(proxies: int, length: float, refuse: float, seed: int, folder: str) -> None:
+    """Both fronts mixed, with refusals, restarts and deaths: does a director know what its proxies run?"""
+    import tempfile
+
+    from ..trial.versions import versions as run
+
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = run(root, seed, proxies, length, refuse, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
+
+
+@trial.command("bad-version")
+@click.option("--proxies", type=click.IntRange(10, 2000), default=200, show_default=True)
+@click.option("--share", type=click.FloatRange(0.01, 1), default=0.05, show_default=True, help="Who refuses.")
+@click.option("--front", type=click.Choice(["files", "calls", "mixed"]), default="mixed", show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def bad_version(proxies: int, share: float, front: str, folder: str) -> None:
+    """A table that some proxies refuse: its roll-out stops, and who runs it goes back."""
+    import tempfile
+
+    from ..trial.versions import bad_version as run
+
+    done = run(Path(folder or tempfile.mkdtemp(prefix="willowhook-")), proxies, share, front)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/director/intake.py
+++ b/willowhook/director/intake.py
@@ -74,6 +74,7 @@
         self._bad: dict[str, str] = {}  # by proxy: the file that was last found bad
         self._overdue = Wheel(max(lost_after // 20, 1), 64, 0)
         self._newest = newest
+        self.last_fault = ""  # why the last that was found bad was so
 
     def appeared(
         self, now: int, name: str, files: Mapping[str, bytes], lies: Mapping[str, bytes] | None = None,
@@ -170,6 +171,7 @@
         self._found_bad(name, file, cause)
 
     def _found_bad(self, name: str, file: str, cause: str) -> None:
+        self.last_fault = cause
         if self._bad.get(name) != file:  # once, not at every report
             self._bad[name] = file
             self._ear.fault(name, f"{file}: {cause}")
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -495,7 +495,5 @@
         self.publisher.tell_guard(self.watchman.came, proxy, self._route_at[route], calls * SECOND / window)
 
     def fault(self, name: str, cause: str) -> None:
-        if self.web is not None:
-            self.web.fault(name, cause)
         self.log.warning("bad file of a proxy", proxy=name, cause=cause)
         self.records.note(self.clock.now(), "fault", proxy=name, cause=cause)
--- a/willowhook/director/web_feed.py
+++ b/willowhook/director/web_feed.py
@@ -52,7 +52,6 @@
         self._desks: dict[str, Desk] = {}
         self._names: dict[int, str] = {}
         self._events: list[Event] = []
-        self._faults: dict[str, str] = {}
         self.gate = Gate(
             terms.connections_most, terms.proxy_connections_most, terms.asks_per_s / SECOND, terms.asks_burst
         )
@@ -85,11 +84,6 @@
         if desk is not None:
             self.front.forget(desk)
 
-    def fault(self, name: str, cause: str) -> None:
-        """What the intake found wrong with a proxy that is about to join."""
-        if name in self._faults:
-            self._faults[name] = cause
-
     # The front's hall.
 
     def here(self, name: str) -> tuple[int, bool] | None:
@@ -113,23 +107,24 @@
             self._publisher.delivered(presence.number)
 
     async def arrive(self, name: str, node: forms.Node, holds: list[Any], fresh: bool) -> str:
-        done = trio.Event()
+        done, fault = trio.Event(), ""
         status = encode({"node": node, "generic_xds_configs": holds})
         files = {STATUS: status}
         if not fresh:
             files["eds.json"] = encode(forms.DiscoveryRequest("held", node))
 
         def appear(now: int) -> None:
+            nonlocal fault
             presence = self._intake.present.get(name)
             term = node.metadata.get("term", 0)
-            if presence is None or not presence.web or presence.term != term:
-                self._faults[name] = ""
-                self._intake.appeared(now, name, files, None, True)
+            here = presence is not None and presence.web and presence.term == term
+            if not here and not self._intake.appeared(now, name, files, None, True):
+                fault = self._intake.last_fault
             done.set()
 
         await self._send(appear)
         await done.wait()
-        return self._faults.pop(name, "")
+        return fault
 
     async def report(self, name: str, body: bytes) -> None:
         await self._send(partial(self._reported, name, body))
--- a/willowhook/trial/day.py
+++ b/willowhook/trial/day.py
@@ -41,6 +41,7 @@
     zone: str
     share: float  # of all calls
     port: int = 0
+    form: str = "files"  # by which its director speaks to it: files, whole, delta
 
 
 class Trouble(msgspec.Struct):
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import hashlib
 import json
 import math
 import os
@@ -25,16 +26,18 @@
 import trio
 
 from ..config.facts import ticks as ms_ticks
-from ..config.terms import GuardTerms
+from ..config.terms import FrontTerms, GuardTerms, Terms
 from ..files.layout import DRAIN
 from .day import ZONES, Day, HostPlan, Trouble, terms_of
 from .judge import Judge, Limits, Verdict
 from .notes import SECOND, Notes, read_notes, ticks
 from .standin_client import ClientOrders
 from .standin_host import HostOrders
+from .standin_link import token
 from .standin_proxy import DirectorPlace, ProxyOrders
 from .standin_roster import StandInRoster
 
+FORMS = {"files": ("files",), "calls": ("whole", "delta"), "mixed": ("files", "delta", "files", "whole")}
 CREW = 25  # so many proxies at most are one process
 FELL = 9  # exit code of a host that was pushed over
 
@@ -70,10 +73,16 @@
     def __init__(
         self, day: Day, folder: Path, how: str = "director", director: Sequence[str] = (),
         say: Callable[[str], None] = lambda text: None, durability: str = "none", guard: str = "on",
+        front: str = "files",
     ) -> None:  # fmt: skip
+        """`front`: files, calls or mixed, by which proxies are told."""
         self.day, self.folder, self.how, self.say = day, folder, how, say
         self.command = list(director) or [sys.executable, "-m", "willowhook.cli"]
         self.durability, self.fenced, self.guard = durability, True, guard
+        self.front = front
+        for k, plan in enumerate(day.proxies):
+            plan.form = FORMS[front][k % len(FORMS[front])]
+        self.refuse, self.odd_weight, self.odd_share = 0.0, 0, 0.05
         folder.mkdir(parents=True, exist_ok=True)
         self.notes = Notes(str(folder / "stage.notes"))
         self.chance = random.Random(day.seed + 5)
@@ -89,6 +98,7 @@
         self.usage: dict[str, dict[str, float]] = {}
         self.starts = 0
         self.ports = Ports()
+        self.front_ports = self.ports.take(day.directors)
 
     # Processes.
 
@@ -142,12 +152,25 @@
         records = str(self.folder / f"director-{rank}.records")
         terms = terms_of(self.day, rank, self.director_folder(rank), url, records, durability=self.durability)
         terms = msgspec.structs.replace(terms, guard=msgspec.convert({"mode": self.guard}, GuardTerms))
+        terms = self.with_front(terms, rank)
         path = self.folder / f"director-{rank}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(terms)))
         args = [*self.command, "director", "--config", str(path), "--log-format", "json"]
         self.directors[rank] = self.start(args, f"director-{rank}.log", stdout=subprocess.DEVNULL)
         self.notes.note("director_up", d=f"director-{rank}")
 
+    def with_front(self, terms: Terms, rank: int) -> Terms:
+        if self.front == "files":
+            return terms
+        path = self.folder / "credentials.json"
+        sums = {plan.id: hashlib.sha256(token(plan.id)).hexdigest() for plan in self.day.proxies}
+        path.write_bytes(msgspec.json.encode({"proxies": sums}))
+        front = FrontTerms(
+            listen=f"127.0.0.1:{self.front_ports[rank]}", credentials=str(path), wait_ms=2000, header_ms=3000,
+            come_back_ms=300,
+        )  # fmt: skip
+        return msgspec.structs.replace(terms, front=front)
+
     def kill_director(self, rank: int) -> None:
         process = self.directors.pop(rank)
         self.note_usage(rank, process.pid)
@@ -178,7 +201,9 @@
     async def start_proxies(self) -> None:
         day, fleet = self.day, self.day.fleet
         places = [
-            DirectorPlace(f"director-{rank}", self.director_folder(rank), ZONES[rank % 2])
+            DirectorPlace(
+                f"director-{rank}", self.director_folder(rank), ZONES[rank % 2], self.front_ports[rank]
+            )
             for rank in range(day.directors)
         ]
         parts = math.ceil(len(day.proxies) / CREW)
@@ -189,6 +214,7 @@
                 day.seed + part, fleet.standing, fleet.pick, fleet.strikes, 4.0, fleet.dial_ms / 1000,
                 fleet.report_every_ms / 1000, day.director_lost_after_s, day.redial_s, day.calls_per_s,
                 fixed=self.how != "director", fenced=self.fenced, fleet=len(day.proxies),
+                refuse=self.refuse, odd_weight=self.odd_weight, odd_share=self.odd_share,
             )  # fmt: skip
             if self.how == "standing":
                 orders = msgspec.structs.replace(orders, fixed=False, directors=[])
--- /dev/null
+++ b/willowhook/trial/standin_link.py
@@ -0,0 +1,323 @@
+"""How a stand-in proxy speaks to its director by calls: three waits, one a type, and its reports.
+
+It holds the published protocol's other side strictly: an answer is applied whole or refused with a cause, one
+that is older than what is held is refused, and what was acknowledged last is on its disk, so that after a
+restart it runs that and nothing newer.
+"""
+
+from __future__ import annotations
+
+import gzip
+import os
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from ..files.ops import DiskOps
+from ..files.swap import swap_file
+from ..web.wire import Broken, Caller, Reply, dial
+from ..xds import forms, tables
+from ..xds.codec import FormError, decode, encode
+from .notes import ticks
+
+if TYPE_CHECKING:
+    from .standin_proxy import DirectorPlace, StandInProxy
+
+WORDS = {"cds": ("cluster", "Cluster"), "eds": ("endpoint", "Endpoint"), "rds": ("route", "Route")}
+LOADS = b"/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
+PATIENCE_S = 14.0  # of one wait: a director ends it sooner
+
+
+class Kept(msgspec.Struct):
+    """What was acknowledged: by type its version, and by name version and body."""
+
+    director: str
+    versions: dict[str, str]
+    rows: dict[str, dict[str, tuple[str, msgspec.Raw]]]
+
+
+def era_and_number(version: str) -> tuple[int, int]:
+    era, _, number = version.partition(".")
+    try:
+        return int(era), int(number)
+    except ValueError as fault:
+        raise FormError(f"version {version[:40]!r}") from fault
+
+
+def token(name: str) -> bytes:
+    return f"token of {name}".encode()
+
+
+class WebLink:
+    def __init__(self, proxy: StandInProxy) -> None:
+        self.proxy, self.o = proxy, proxy.o
+        self.whole = proxy.plan.form == "whole"
+        self.kept = Kept("", {}, {})
+        self.rows: dict[str, dict[str, tuple[str, bytes]]] = {kind: {} for kind in WORDS}
+        self.versions: dict[str, str] = {}
+        self.path = f"{os.path.dirname(self.o.notes)}/accepted/{proxy.plan.id}"
+        self.why_over = ""
+        self.scope: trio.CancelScope | None = None
+        self.loads: bytes | None = None
+        self.heard_at = 0
+
+    # What it holds.
+
+    def take_up(self) -> None:
+        """After a restart: what was acknowledged last, if anything was."""
+        os.makedirs(os.path.dirname(self.path), exist_ok=True)
+        try:
+            with open(self.path, "rb") as file:
+                self.kept = msgspec.json.decode(file.read(), type=Kept)
+        except FileNotFoundError:
+            return
+        if "rds" not in self.kept.versions:
+            return  # it never had routes: the standing ones are what it runs
+        proxy, rows = self.proxy, self.kept.rows
+        self.rows = {
+            kind: {n: (v, bytes(raw)) for n, (v, raw) in rows.get(kind, {}).items()} for kind in WORDS
+        }
+        proxy.assignments = {
+            n: decode(b, forms.ClusterLoadAssignment) for n, (_, b) in self.rows["eds"].items()
+        }
+        proxy.clusters = {n: decode(b, forms.Cluster) for n, (_, b) in self.rows["cds"].items()}
+        for _, body in self.rows["rds"].values():
+            proxy.routes = decode(body, forms.RouteConfiguration).virtual_hosts[0].routes
+        self.versions = dict(self.kept.versions)
+        proxy.settle()
+        proxy.notes.note("took_up", p=proxy.plan.id, versions=self.versions)
+
+    def keep(self, kind: str) -> None:
+        """The acknowledgement of this type is on its way."""
+        self.kept.director = self.proxy.claim.director
+        self.kept.versions[kind] = self.versions[kind]
+        self.kept.rows[kind] = {n: (v, msgspec.Raw(body)) for n, (v, body) in self.rows[kind].items()}
+        folder, _, name = self.path.rpartition("/")
+        swap_file(DiskOps(), folder, name, encode(self.kept))
+        self.proxy.notes.note("acked", p=self.proxy.plan.id, part=kind, version=self.versions[kind])
+
+    # Its director.
+
+    def begin(self, place: DirectorPlace) -> None:
+        if self.kept.director != place.name:  # versions of another director say nothing to this one
+            self.versions = {}
+            self.rows = {
+                kind: {n: ("", body) for n, (_, body) in rows.items()} for kind, rows in self.rows.items()
+            }
+            self.kept = Kept(place.name, {}, {})
+        self.why_over, self.scope, self.heard_at = "", trio.CancelScope(), ticks()
+        self.proxy.crew.later(lambda: self.run(place, self.scope))
+
+    def end(self) -> None:
+        if self.scope is not None:
+            self.scope.cancel()
+
+    async def run(self, place: DirectorPlace, scope: trio.CancelScope | None) -> None:
+        assert scope is not None
+        with scope:
+            async with trio.open_nursery() as nursery:
+                for kind in WORDS:
+                    nursery.start_soon(self.follow, place, kind)
+                nursery.start_soon(self.tell_loads, place)
+
+    def over(self, why: str, avoid_s: float = 0.0) -> None:
+        if avoid_s and self.proxy.director is not None:
+            self.proxy.avoided[self.proxy.director.name] = ticks() + round(avoid_s * 10_000)
+        self.why_over = self.why_over or why
+
+    async def follow(self, place: DirectorPlace, kind: str) -> None:
+        """One type: ask, apply, acknowledge by asking again."""
+        caller: Caller | None = None
+        nonce = fault = ""
+        acked = False
+        while True:
+            try:
+                first = caller is None or not caller.usable
+                if caller is None or not caller.usable:
+                    caller = await self.dialled(caller, place)
+                body = self.asks(kind, first, nonce, fault)
+                acks = acked
+
+                def gone_out(acks: bool = acks) -> None:
+                    if acks:
+                        self.keep(kind)
+
+                with trio.fail_after(PATIENCE_S):
+                    reply = await caller.call(
+                        b"POST", self.target(kind), self.headers(), body, gone_out=gone_out
+                    )
+                self.heard_at = ticks()
+                nonce, fault, acked = "", "", False
+                if reply.status == 200:
+                    nonce, fault = self.apply(place, kind, reply)
+                    acked = not fault
+                elif reply.status != 304:
+                    await self.turned_away(reply)
+            except (Broken, trio.TooSlowError):
+                nonce, fault, acked = "", "", False  # what was not acknowledged is not on its disk either
+                await self.closed(caller)
+                caller = None
+                if ticks() - self.heard_at > self.o.lost_after_s * 2 * 10_000:
+                    self.over("no answer")
+                await trio.sleep(0.05 + 0.1 * self.proxy.chance.random())
+
+    async def turned_away(self, reply: Reply) -> None:
+        wait = float(reply.header(b"retry-after") or b"1")
+        self.proxy.notes.note(
+            "turned_away", p=self.proxy.plan.id, status=reply.status, why=reply.body[:200].decode()
+        )
+        if reply.status == 503 and b"drains" in reply.body:
+            self.over("sent away", self.o.stay_s * 2)
+        elif reply.status in (409, 503):
+            self.over("its stay is over")
+        await trio.sleep(wait)
+
+    async def dialled(self, old: Caller | None, place: DirectorPlace) -> Caller:
+        await self.closed(old)
+        if self.proxy.crew.unreachable(self.proxy.plan.zone, place.zone):
+            await trio.sleep(0.2)
+            raise Broken("no way there", False)
+        return await dial("127.0.0.1", place.port, 1.0)
+
+    @staticmethod
+    async def closed(caller: Caller | None) -> None:
+        if caller is not None:
+            await caller.close()
+
+    def target(self, kind: str) -> bytes:
+        word, name = WORDS[kind]
+        if self.whole:
+            return f"/v3/discovery:{word}s".encode()
+        return f"/envoy.service.{word}.v3.{name}DiscoveryService/Delta{name}s".encode()
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        return [
+            (b"authorization", b"Bearer " + token(self.proxy.plan.id)),
+            (b"accept-encoding", b"gzip"),
+            (b"content-type", b"application/json"),
+        ]
+
+    def asks(self, kind: str, first: bool, nonce: str, fault: str) -> bytes:
+        node = forms.Node()
+        if first:
+            node = self.proxy.node()
+            node.metadata["holds"] = msgspec.json.decode(self.proxy.status()).get("generic_xds_configs", [])
+        detail = forms.Status(3, fault) if fault else None
+        if self.whole:
+            version = self.versions.get(kind, "")
+            return encode(forms.DiscoveryRequest(version, node, [], forms.FILES[kind], nonce, detail))
+        holds = {name: version for name, (version, _) in self.rows[kind].items() if version} if first else {}
+        return encode(forms.DeltaDiscoveryRequest(node, forms.FILES[kind], [], [], holds, nonce, detail))
+
+    # Answers.
+
+    def apply(self, place: DirectorPlace, kind: str, reply: Reply) -> tuple[str, str]:
+        """The answer's nonce, and why it is refused, if it is."""
+        body = reply.body
+        if reply.header(b"content-encoding") == b"gzip":
+            body = gzip.decompress(body)
+        nonce = version = ""
+        try:
+            if self.whole:
+                got = decode(body, forms.DiscoveryResponse)
+                nonce, version = got.nonce, got.version_info
+                rows = {}
+                for raw in got.resources:
+                    name = self.name_of(kind, bytes(raw))
+                    rows[name] = (version, bytes(raw))
+            else:
+                delta = decode(body, forms.DeltaDiscoveryResponse)
+                nonce, version = delta.nonce, delta.system_version_info
+                rows = dict(self.rows[kind])
+                for row in delta.resources:
+                    rows[row.name] = (row.version, bytes(row.resource))
+                for name in delta.removed_resources:
+                    rows.pop(name, None)
+            held = self.versions.get(kind, "")
+            if held and era_and_number(version) <= era_and_number(held):
+                raise FormError(f"{version} goes back, {held} is held")
+            self.check(kind, version, rows)
+        except FormError as fault:
+            self.proxy.crew.refused += 1
+            cause = str(fault) or "refused"
+            self.proxy.notes.note(
+                "refused", p=self.proxy.plan.id, d=place.name, part=kind, version=version, cause=cause
+            )
+            return nonce, cause
+        self.rows[kind], self.versions[kind] = rows, version
+        proxy = self.proxy
+        proxy.settle()
+        proxy.crew.applied += 1
+        proxy.notes.note("applied", p=proxy.plan.id, d=place.name, part=kind, version=version,
+                         term=proxy.claim.term, **proxy.runs())  # fmt: skip
+        return nonce, ""
+
+    @staticmethod
+    def name_of(kind: str, body: bytes) -> str:
+        if kind == "eds":
+            return decode(body, forms.ClusterLoadAssignment).cluster_name
+        if kind == "cds":
+            return decode(body, forms.Cluster).name
+        return decode(body, forms.RouteConfiguration).name
+
+    def check(self, kind: str, version: str, rows: dict[str, tuple[str, bytes]]) -> None:
+        """Puts the rows in place, or raises FormError and leaves everything as it is."""
+        proxy = self.proxy
+        chance = random.Random(f"{self.o.seed} {proxy.plan.id} {kind} {version}")
+        if self.o.refuse and chance.random() < self.o.refuse:
+            raise FormError("refused by chance")
+        assignments, clusters, routes = proxy.assignments, proxy.clusters, proxy.routes
+        if kind == "eds":
+            assignments = {n: decode(body, forms.ClusterLoadAssignment) for n, (_, body) in rows.items()}
+            standing = proxy.assignments.get("standing")
+            if standing is not None and "standing" not in assignments and self.in_use("standing"):
+                assignments["standing"] = standing
+            for table in assignments.values():
+                tables.lines(table)
+            proxy.look_odd(assignments.values())
+        elif kind == "cds":
+            clusters = {n: decode(body, forms.Cluster) for n, (_, body) in rows.items()}
+            for name, cluster in proxy.clusters.items():  # what it started with, as long as routes lead there
+                if name.endswith("@standing") and any(r.route.cluster == name for r in proxy.routes):
+                    clusters.setdefault(name, cluster)
+        else:
+            sets = [decode(body, forms.RouteConfiguration) for _, body in rows.values()]
+            if len(sets) != 1 or not sets[0].virtual_hosts:
+                raise FormError(f"{len(sets)} sets of routes")
+            routes = sets[0].virtual_hosts[0].routes
+        for route in routes:
+            to = clusters.get(route.route.cluster)
+            if to is None:
+                raise FormError(f"route {route.name!r} names no cluster: {route.route.cluster!r}")
+            if to.eds_cluster_config.service_name not in assignments:
+                raise FormError(f"cluster {to.name!r} has no table")
+            tables.level_of(route.typed_per_filter_config)
+        proxy.assignments, proxy.clusters, proxy.routes = assignments, clusters, routes
+
+    def in_use(self, table: str) -> bool:
+        clusters = [self.proxy.clusters[route.route.cluster] for route in self.proxy.routes]
+        return any(cluster.eds_cluster_config.service_name == table for cluster in clusters)
+
+    # Reports.
+
+    def report(self, data: bytes) -> None:
+        self.loads = data
+
+    async def tell_loads(self, place: DirectorPlace) -> None:
+        caller: Caller | None = None
+        while True:
+            data, self.loads = self.loads, None
+            if data is None:
+                await trio.sleep(0.05)
+                continue
+            try:
+                if caller is None or not caller.usable:
+                    caller = await self.dialled(caller, place)
+                with trio.fail_after(3.0):
+                    await caller.call(b"POST", LOADS, self.headers(), data)
+            except (Broken, trio.TooSlowError):
+                await self.closed(caller)
+                caller = None
+                await trio.sleep(0.1)
--- a/willowhook/trial/standin_proxy.py
+++ b/willowhook/trial/standin_proxy.py
@@ -14,7 +14,7 @@
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -36,12 +36,14 @@
 from ..xds.codec import FormError, encode, read_response, seconds
 from .day import ProxyPlan
 from .notes import SECOND, Notes, obey, ticks
+from .standin_link import WebLink
 
 
 class DirectorPlace(msgspec.Struct):
     name: str
     folder: str
     zone: str
+    port: int = 0  # of its front, where there is one
 
 
 class ProxyOrders(msgspec.Struct):
@@ -70,6 +72,8 @@
     settle_s: float = 3.0
     stay_s: float = 5.0
     beat_s: float = 0.2
+    odd_weight: int = 0  # a table with a line of this weight is refused by some
+    odd_share: float = 0.05
 
 
 @dataclass(slots=True)
@@ -110,6 +114,19 @@
 
 
 class StandInProxy:
+    assignments: dict[str, forms.ClusterLoadAssignment]
+    clusters: dict[str, forms.Cluster]
+    routes: list[forms.Route]
+    o: ProxyOrders
+    plan: ProxyPlan
+    crew: Crew
+    notes: Notes
+    claim: Claim
+    avoided: dict[str, int]
+    director: DirectorPlace | None
+    lines: dict[str, list[tuple[str, float]]]
+    chance: random.Random
+
     def __init__(self, orders: ProxyOrders, plan: ProxyPlan, crew: Crew) -> None:
         self.o, self.plan, self.crew, self.notes = orders, plan, crew, crew.notes
         self.chance = random.Random(f"{orders.seed} {plan.id}")
@@ -118,18 +135,21 @@
         self.dropped: dict[str, int] = {}
         self.asked_at = ticks()
         self.buckets: dict[str, tuple[object, Bucket]] = {}
-        self.director: DirectorPlace | None = None
+        self.director = None
         self.state = f"{os.path.dirname(orders.notes)}/terms"
         self.claim = Claim(self.last_term())
         self.versions: dict[str, tuple[str, str]] = {}  # by kind: version and nonce applied
-        self.avoided: dict[str, int] = {}  # directors that sent it away, until when
+        self.avoided = {}  # directors that sent it away, until when
         near = frozenset(place.name for place in orders.directors if place.zone == plan.zone)
         names = order(plan.id, [place.name for place in orders.directors], near)
         self.order = [place for name in names for place in orders.directors if place.name == name]
         pace = Pace(orders.fleet, orders.joins_per_s, orders.settle_s, orders.stay_s)
         self.pace, self.home = pace, Home(pace, names, self.chance.random)
         self.away_until = 0
+        self.link = WebLink(self) if plan.form != "files" else None
         self.stand()
+        if self.link is not None:
+            self.link.take_up()
 
     # What it holds.
 
@@ -140,7 +160,8 @@
         drawn = self.o.hosts if self.o.fixed else self.chance.sample(pool, min(self.o.standing, len(pool)))
         lines = [(host, address, port, zone, 1.0, False) for host, address, port, zone in drawn]
         self.assignments = {"standing": tables.assignment("standing", lines)}
-        self.clusters, rows = {}, []
+        rows: list[forms.Route] = []
+        self.clusters = {}
         for route in self.o.routes:
             name = f"{route.name}@standing"
             pick, dial_ticks = self.o.pick, round(self.o.dial_s * SECOND)
@@ -152,7 +173,7 @@
 
     def settle(self) -> None:
         """Looks up what calls will need; by route the lines that may be picked."""
-        self.lines: dict[str, list[tuple[str, float]]] = {}
+        self.lines = {}
         for route in self.routes:
             cluster = self.clusters[route.route.cluster]
             table = self.assignments[cluster.eds_cluster_config.service_name]
@@ -213,6 +234,7 @@
                 if cluster.eds_cluster_config.service_name not in assignments:
                     raise FormError(f"cluster {cluster.name!r} has no table")
                 tables.level_of(route.typed_per_filter_config)
+            self.look_odd(assignments.values())
         except (FormError, VersionError, IndexError) as fault:
             self.crew.refused += 1
             self.notes.note("refused", p=self.plan.id, d=place.name, cause=str(fault))
@@ -224,15 +246,27 @@
         self.claim.apply(newest)
         self.settle()
         self.crew.applied += 1
-        held = {host for rows in self.lines.values() for host, _ in rows}
-        usable = {name: len(rows) for name, rows in self.lines.items()}
-        told = {"v": [newest.epoch, newest.number], "term": self.claim.term, "hosts": sorted(held)}
-        self.notes.note("applied", p=self.plan.id, d=place.name, usable=usable, **told)
+        told = {"v": [newest.epoch, newest.number], "term": self.claim.term, **self.runs()}
+        self.notes.note("applied", p=self.plan.id, d=place.name, **told)
         self.answer_config(kinds, "")
         if "directors" in assignments and self.director is not None:  # it drains
             self.avoided[self.director.name] = ticks() + round(self.o.stay_s * 2 * SECOND)
             self.leave("sent away")
 
+    def runs(self) -> dict[str, Any]:
+        """What it runs now, for its notes."""
+        held = {host for rows in self.lines.values() for host, _ in rows}
+        usable = {name: len(rows) for name, rows in self.lines.items()}
+        top = max((weight for rows in self.lines.values() for _, weight in rows), default=0.0)
+        return {"hosts": sorted(held), "usable": usable, "top": round(top, 4)}
+
+    def look_odd(self, assignments: Iterable[forms.ClusterLoadAssignment]) -> None:
+        """Raises FormError where a table is of the kind that this proxy refuses."""
+        if self.o.odd_weight and random.Random(self.plan.id).random() < self.o.odd_share:
+            for table in assignments:
+                if any(round(line[4] * 10_000) == self.o.odd_weight for line in tables.lines(table)):
+                    raise FormError(f"{table.cluster_name}: an odd weight")
+
     def name_of_director(self) -> str:
         return self.director.name if self.director else ""
 
@@ -263,7 +297,9 @@
             self.put(kind + ".json", said)
 
     def put(self, file: str, data: bytes) -> None:
-        if self.director is not None:
+        if self.link is not None:
+            self.link.report(data)
+        elif self.director is not None:
             try:
                 swap_file(DiskOps(), f"{self.director.folder}/{UP}/{self.plan.id}", file, data)
             except OSError:
@@ -329,6 +365,12 @@
         os.makedirs(self.state, exist_ok=True)
         swap_file(DiskOps(), self.state, self.plan.id, b"%d" % term, "file")
         self.claim.join(place.name, term)
+        if self.link is not None:
+            self.director = place
+            self.home.joined(ticks() / SECOND)
+            self.notes.note("joined", p=self.plan.id, d=place.name, term=term)
+            self.link.begin(place)
+            return
         shutil.rmtree(temp, ignore_errors=True)
         shutil.rmtree(home, ignore_errors=True)
         os.mkdir(temp)
@@ -351,6 +393,10 @@
             return
         place, self.director = self.director, None
         self.claim.leave()
+        if self.link is not None:
+            self.link.end()
+            self.notes.note("left", p=self.plan.id, d=place.name, why=why)
+            return
         if self.o.fenced:
             self.crew.unfollow(self.plan.id, place)
         self.notes.note("left", p=self.plan.id, d=place.name, why=why)
@@ -376,6 +422,9 @@
                 else:
                     await trio.sleep(0.1)
                     continue
+            elif self.link is not None and self.link.why_over:
+                self.leave(self.link.why_over)
+                await trio.sleep(self.o.redial_s * (0.5 + self.chance.random()))
             elif not self.reachable(self.director):
                 self.leave("no sign of life")
                 wait = dial_wait(self.pace, share, self.chance.random)
@@ -605,6 +654,8 @@
                 for place in self.o.directors:
                     self.unfollow(name, place)
                 proxy.director = None  # its folder stays, as a process that dies leaves it
+                if proxy.link is not None:
+                    proxy.link.end()
 
     def start(self, proxies: list[str], hosts: list[tuple[str, str, int, str]]) -> None:
         for name in proxies:
--- a/willowhook/web/wire.py
+++ b/willowhook/web/wire.py
@@ -51,8 +51,9 @@
         self.usable = True
 
     async def call(self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]] = (),
-                   body: bytes = b"", most: int = MOST_BODY) -> Reply:  # fmt: skip
-        """Raises Broken."""
+                   body: bytes = b"", most: int = MOST_BODY,
+                   gone_out: Callable[[], None] = lambda: None) -> Reply:  # fmt: skip
+        """Raises Broken.  `gone_out` is called when all of it is on its way."""
         wire, self.usable = self._wire, False
         sent = False
         try:
@@ -65,6 +66,7 @@
             data += wire.send(h11.EndOfMessage()) or b""
             sent = True
             await self._stream.send_all(data)
+            gone_out()
             reply, parts, size = Reply(0), list[bytes](), 0
             while True:
                 event = wire.next_event()
