Desks: what a proxy refuses to drop it keeps; never an empty set of routes

trial versions found loops: an answer that only took away was offered again after each refusal (478 times in 8 s), refused routes were offered as none, and tables tried one by one left out what was in use. What the guard held goes out through the channel again, with its lines (rule 5 saw it go past).

--- a/willowhook/director/publish.py
+++ b/willowhook/director/publish.py
@@ -136,8 +136,7 @@
                 for reader in [reader for reader in self.readers.values() if reader.unsent is not None]:
                     if reader.unsent is not None:
                         await self._go(now, reader, reader.unsent)
-            for reader, message in self._due_later(now):
-                await self._go(now, reader, message)
+            self._due_later(now)
             await self._look_for_answers(now)
             self.rollout.look(now)
             self._send_again(now)
@@ -162,15 +161,13 @@
             reader.unsent = message
             self._retry_at = now + SECOND // 5
 
-    def _due_later(self, now: int) -> list[tuple[Reader, Message]]:
-        """What the guard held until now, under numbers of its own: a first step may have had theirs."""
-        found = []
+    def _due_later(self, now: int) -> None:
+        """What the guard held until now goes through the channel once more, under numbers of its own."""
         for reader in self.readers.values():
             if reader.later is not None and now >= reader.later[0]:
                 message, reader.later = reader.later[1], None
                 if not self.channel.has(reader.number):  # else what waits there holds all of it
-                    found.append((reader, replace(message, number=self._book.next_number(), mark=-1)))
-        return found
+                    self.put(replace(message, number=self._book.next_number(), mark=-1, ordered=now))
 
     # Staged roll-out.
 
--- a/willowhook/trial/versions.py
+++ b/willowhook/trial/versions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import shutil
 import statistics
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -59,6 +60,8 @@
 def versions(
     folder: Path, seed: int, proxies: int, length: float, refuse: float, say: Callable[[str], None]
 ) -> VersionsReport:
+    if folder.exists():
+        shutil.rmtree(folder)
     stage = Stage(versions_day(seed, proxies, length), folder, say=say, front="mixed")
     stage.refuse = refuse
     outcome = trio.run(stage.run)
--- a/willowhook/versions/core.py
+++ b/willowhook/versions/core.py
@@ -114,13 +114,20 @@
         held = last.rows if last is not None else {}
         return self.assemble(kind, {n: self.resource(kind, n, body, held.get(n)) for n, body in rows}, last)
 
-    def assemble(self, kind: str, rows: Mapping[str, Resource], last: Part | None = None) -> Part:
-        """The part of these resources; newer than `last` unless it is the same as that."""
+    def assemble(
+        self,
+        kind: str,
+        rows: Mapping[str, Resource],
+        last: Part | None = None,
+        floor: tuple[int, int] = (0, 0),
+    ) -> Part:
+        """The part of these resources; newer than `last` unless it is the same as that, and than `floor`."""
         if last is not None and last.era == self.era and last.rows == rows:
             return last
         content = tuple(row.number for row in rows.values())
         found = self._parts.get((kind, content))
-        if found is not None and found.era == self.era and (last is None or found.at > last.at):
+        above = max(last.at, floor) if last is not None else floor
+        if found is not None and found.era == self.era and found.at > above:
             return found
         part = Part(kind, self.era, self._next(), rows)
         self._parts[kind, content] = part
@@ -157,6 +164,11 @@
             return 0
         return told[0]
 
+    def own(self, version: str) -> tuple[int, int]:
+        """A version that this core made; (0, 0) of any other."""
+        told = read_version(version)
+        return told if told is not None and told[0] in self._eras else (0, 0)
+
     def rebase(self, era: int) -> None:
         """A proxy holds a version of this era: all that is made from now on is above it."""
         self.era = next_era(era, self.era)
--- a/willowhook/versions/desk.py
+++ b/willowhook/versions/desk.py
@@ -70,6 +70,8 @@
         self._names: dict[str, dict[str, None] | None] = dict.fromkeys(KINDS)  # None: all there are
         self._suspects: dict[str, dict[str, Resource]] = {kind: {} for kind in KINDS}
         self._banned: dict[tuple[str, str], Resource] = {}
+        self._kept: dict[str, dict[str, Resource]] = {kind: {} for kind in KINDS}  # that it refused to drop
+        self._floors = dict.fromkeys(KINDS, (0, 0))  # versions that it says it has, of parts that are no more
         self._out: frozenset[str] = frozenset()
         self.lies = 0  # the newest message that it is offered
 
@@ -113,7 +115,9 @@
             if part.rows.get(name) is not row:
                 del belief.refused[name]
                 belief.errors.pop(name, None)
-        suspects = self._suspects[kind]
+        kept, suspects = self._kept[kind], self._suspects[kind]
+        for name in [name for name in kept if name in part.rows]:
+            del kept[name]
         for name, row in list(suspects.items()):
             if part.rows.get(name) is not row:
                 del suspects[name]
@@ -132,18 +136,17 @@
             if rows is None:
                 continue
             rows = self._safe(kind, rows)
+            if kind == ROUTES and not rows:
+                continue  # it refused them and has none of ours: it goes on with what it has
             names = self._names[kind]
             if names is not None:
                 rows = {name: row for name, row in rows.items() if name in names}
             last, wanted = self.last(kind), self._wanted.get(kind)
-            if wanted is not None and rows == wanted.rows and (last is None or wanted.at >= last.at):
+            above = max(last.at if last is not None else (0, 0), self._floors[kind])
+            if wanted is not None and rows == wanted.rows and wanted.at >= above:
                 self._offers[kind] = wanted
             else:
-                self._offers[kind] = self._core.assemble(kind, rows, last)
-            belief, offer = self.beliefs[kind], self._offers[kind]
-            if belief.known is None and belief.told and belief.told == offer.versions():
-                belief.known = offer  # it came with just this
-                self._tell(belief)
+                self._offers[kind] = self._core.assemble(kind, rows, last, self._floors[kind])
 
     def _in_use(self) -> dict[str, None]:
         """Clusters that its routes may lead to by now."""
@@ -161,6 +164,11 @@
                 return part.rows[name]
         return None
 
+    def _held(self, kind: str) -> Mapping[str, Resource]:
+        """What it holds of ours, or what it came with."""
+        known, came = self.beliefs[kind].known, self._came.get(kind)
+        return known.rows if known is not None else came.rows if came is not None else {}
+
     def _clusters(self) -> dict[str, Resource] | None:
         wanted = self._wanted.get(CLUSTERS)
         if wanted is None:
@@ -210,14 +218,12 @@
         belief, suspects = self.beliefs[kind], self._suspects[kind]
         if suspects:  # one at a time, and nothing else new
             one = next(iter(suspects))
-            held = belief.known.rows if belief.known is not None else {}
-            return {name: row for name, row in held.items() if name != one} | {one: suspects[one]}
+            return {name: row for name, row in self._held(kind).items() if name != one} | {one: suspects[one]}
         made: dict[str, Resource] = {}
         for name, row in rows.items():
             if belief.refused.get(name) is row:
-                held_row = belief.known.rows.get(name) if belief.known is not None else None
-                if held_row is not None:
-                    made[name] = held_row
+                if name in (held := self._held(kind)):
+                    made[name] = held[name]
                 continue
             if self._banned.get((kind, name)) is row:
                 back = self._back(kind, name, row)
@@ -225,7 +231,8 @@
                     made[name] = back
                 continue
             made[name] = row
-        return made
+        held = self._held(kind)
+        return made | {n: held.get(n, row) for n, row in self._kept[kind].items() if n not in made}
 
     def _back(self, kind: str, name: str, row: Resource) -> Resource | None:
         """What it goes back to from a version that was stopped; that version if there is nothing else."""
@@ -335,6 +342,8 @@
             if part_known is not None:
                 belief.known = part_known
                 self._tell(belief)
+            else:
+                self._floors[belief.kind] = self._core.own(version)
 
     def _acknowledged(self, belief: Belief, nonce: str) -> None:
         part = belief.acknowledged(nonce)
@@ -352,7 +361,13 @@
         if new is None:
             return
         suspects = self._suspects[belief.kind]
-        if len(new) == 1:
+        if not new:  # what it would not let go it keeps, until something else is wanted
+            rows = self._offers[belief.kind].rows if belief.kind in self._offers else {}
+            kept = {n: row for n, row in self._held(belief.kind).items() if n not in rows}
+            self._kept[belief.kind].update(kept)
+            for row in kept.values():
+                self._host.refused(self.proxy, row, ask.error)
+        elif len(new) == 1:
             belief.refused[new[0].name] = new[0]
             suspects.pop(new[0].name, None)
             self._host.refused(self.proxy, new[0], ask.error)
