--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -293,8 +293,9 @@
 @pytest.mark.parametrize("whole", [False, True])
 def test_a_proxy_that_refuses_everything_is_not_asked_without_end(whole: bool) -> None:
     """Also where an answer only takes away: seen in a trial, 478 times in 8 s."""
-    core, ear, desk, proxy = joined([1, 2])
-    settle(desk, proxy)
+    core, ear = Core(first_era(1, 1)), Ear()
+    rows = {TABLES: [("old", b"w")], CLUSTERS: [("c", b"x:old")], ROUTES: [("calls", b"r:c")]}
+    desk, proxy = Desk(1, core, ear, uses, drained, rows), Proxy()
     answers = 0
     for number, tables in ((2, [1]), (3, [3]), (4, [1, 2, 4])):
         desk.want(number, content(core, desk, tables, number), frozenset())
@@ -303,10 +304,12 @@
                 answer = desk.ask(Ask(kind, whole))
                 while answer is not None:
                     answers += 1
+                    assert answers < 60, (kind, answer.part.versions(), desk._suspects, desk._kept)
                     desk.leaves(kind, answer)
                     answer = desk.ask(Ask(kind, whole, nonce=answer.nonce, error="no"))
-    assert answers <= 3 * 3 * 5, answers
-    desk.want(5, content(core, desk, [2], 99), frozenset())
+    assert 3 <= answers <= 30, answers
+    proxy.rows = {kind: {name: ("", body) for name, body in each} for kind, each in rows.items()}
+    desk.want(5, content(core, desk, [5], 99), frozenset())
     settle(desk, proxy)
     assert ear.done[-1] == 5
 
--- a/willowhook/versions/desk.py
+++ b/willowhook/versions/desk.py
@@ -169,6 +169,13 @@
         known, came = self.beliefs[kind].known, self._came.get(kind)
         return known.rows if known is not None else came.rows if came is not None else {}
 
+    def _has(self, kind: str, row: Resource) -> bool:
+        belief = self.beliefs[kind]
+        if belief.known is not None or belief.flights:
+            return belief.holds(row)
+        came = self._came.get(kind)
+        return came is not None and row.name in came.rows and came.rows[row.name].body == row.body
+
     def _clusters(self) -> dict[str, Resource] | None:
         wanted = self._wanted.get(CLUSTERS)
         if wanted is None:
@@ -204,15 +211,18 @@
         return dict(now.rows) if now is not None else None
 
     def _reachable(self, routes: Resource) -> bool:
-        clusters, tables = self.beliefs[CLUSTERS].known, self.beliefs[TABLES].known
-        if clusters is None or tables is None:
-            return False
         for name in self._uses(routes):
-            row = clusters.rows.get(name)
-            if row is None or any(table not in tables.rows for table in self._uses(row)):
+            row = self._sure(CLUSTERS, name)
+            if row is None or any(self._sure(TABLES, table) is None for table in self._uses(row)):
                 return False
         return True
 
+    def _sure(self, kind: str, name: str) -> Resource | None:
+        """A resource of this name that it holds whichever of the answers on their way has come."""
+        if any(name not in part.rows for part in self.beliefs[kind].flights.values()):
+            return None
+        return self._held(kind).get(name)
+
     def _safe(self, kind: str, rows: dict[str, Resource]) -> dict[str, Resource]:
         """Without what it refused, or what was stopped: in its place what it holds."""
         belief, suspects = self.beliefs[kind], self._suspects[kind]
@@ -271,8 +281,16 @@
         if offer is None or offer is belief.known:
             return None
         base = belief.base()
-        if belief.known is not None and offer.rows == belief.known.rows:
+        held = self._held(kind)
+        if offer.rows == held:
             return None
+        if (
+            belief.known is None
+            and held
+            and {n: row.body for n, row in offer.rows.items()}
+            == {name: row.body for name, row in held.items()}
+        ):
+            return None  # it came with just this, whatever version it knows it by
         if whole:
             return Answer(offer, offer.version, None, None)
         delta = self._core.delta(base, offer)
@@ -326,6 +344,7 @@
     def _lost_base(self, belief: Belief, told: dict[str, str], runs: Part | None) -> None:
         """It holds something other than what it was known to hold."""
         belief.known, belief.told = runs, told if runs is None else {}
+        self._came.pop(belief.kind, None)
         belief.flights.clear()
         if runs is not None:
             self._host.taken(self.proxy, runs)
@@ -360,6 +379,9 @@
         new = belief.refusal(ask.nonce, ask.error)
         if new is None:
             return
+        if belief.known is None:  # what it came with is no news to it, whatever version it knows that by
+            came = self._held(belief.kind)
+            new = tuple(row for row in new if row.name not in came or came[row.name].body != row.body)
         suspects = self._suspects[belief.kind]
         if not new:  # what it would not let go it keeps, until something else is wanted
             rows = self._offers[belief.kind].rows if belief.kind in self._offers else {}
@@ -392,6 +414,8 @@
             held = belief.known.rows if belief.known is not None else {}
             if not belief.flights and any(name in held for name in ask.add):
                 belief.told = {n: row.version for n, row in held.items() if n not in ask.add}
+                left = {n: row for n, row in held.items() if n not in ask.add}
+                self._came[ask.kind] = self._core.assemble(ask.kind, left)
                 belief.known = None
                 self._tell(belief)
         self._names[ask.kind] = dict(list(names.items())[:MOST_NAMES]) if names is not None else None
@@ -402,9 +426,7 @@
         """Tells of the newest message whose every resource is known to be held."""
         done = -1
         for k, (_, parts) in enumerate(self._numbers):
-            if all(
-                self.beliefs[kind].holds(row) for kind, part in parts.items() for row in part.rows.values()
-            ):
+            if all(self._has(kind, row) for kind, part in parts.items() for row in part.rows.values()):
                 done = k
         if done >= 0:
             number = self._numbers[done][0]
