trial herd: a thousand waits, one change; what tables gain is worked out once a step

The guard's differences between two tables are kept for all proxies that make the same step: it was the largest single cost.

--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -246,3 +246,22 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command()
+@click.option("--callers", type=click.IntRange(10, 10_000), default=1000, show_default=True)
+@click.option("--slow", type=click.FloatRange(0, 0.5), default=0.05, show_default=True, help="Do not read.")
+@click.option("--hosts", type=click.IntRange(2, 2000), default=86, show_default=True)
+@click.option("--encoding", type=click.Choice(["", "zstd"]), default="", show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def herd(callers: int, slow: float, hosts: int, encoding: str, folder: str) -> None:
+    """Many calls wait, and one change comes: how long until the last has it, and what that costs."""
+    import tempfile
+
+    from ..trial.herd import herd as run
+
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = run(root, callers, slow, hosts, encoding, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/guard/world.py
+++ b/willowhook/guard/world.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 
 OPEN, DRAINING, GONE = "open", "draining", "gone"
+MOST_STEPS = 300  # from one table to another, whose differences are kept
+NOTHING: dict[str, float] = {}
 REBUILD = 65_536  # changes after which running sums are made anew
 
 
@@ -108,6 +110,10 @@
         self.contents: dict[object, Shares] = {}
         self.classes: dict[tuple[object, ...], list[float]] = {}  # keys held, rates by route and a count last
         self._peaks: dict[tuple[object, ...], list[tuple[list[int], dict[str, float]]]] = {}
+        # by the two tables: they, and by how much shares grow
+        self._steps: dict[
+            tuple[int, int], tuple[dict[str, float], dict[str, float], list[tuple[str, float]]]
+        ] = {}
         self.load: dict[str, float] = {}  # by host: the most calls a second that may come
         self._changes = 0
         self.listing = 0  # how many lists came
@@ -323,18 +329,28 @@
         before_of = {k: peak for routes, peak in held for k in routes}
         rows: dict[tuple[int, int], tuple[dict[str, float], dict[str, float]]] = {}
         for k, rate in enumerate(facts.rates):
-            new, old = shares.by_route[k], before_of.get(k, {})
+            new, old = shares.by_route[k], before_of.get(k, NOTHING)
             same = (id(new), id(old))
             done[same] = done.get(same, 0.0) + rate
             rows[same] = (new, old)
         for same, rate in done.items():
-            new, old = rows[same]
-            for host, share in new.items():
-                more = share - old.get(host, 0.0)
-                if more > 0:
-                    found[host] = found.get(host, 0.0) + rate * more
+            for host, more in self._gains(*rows[same]):
+                found[host] = found.get(host, 0.0) + rate * more
         return found
 
+    def _gains(self, new: dict[str, float], old: dict[str, float]) -> list[tuple[str, float]]:
+        """By how much shares grow from one table to the next; a fleet makes the same step proxy by proxy."""
+        key = (id(new), id(old))
+        kept = self._steps.get(key)
+        if kept is not None and kept[0] is new and kept[1] is old:
+            return kept[2]
+        gains = [(host, share - old.get(host, 0.0)) for host, share in new.items()]
+        gains = [(host, more) for host, more in gains if more > 0]
+        if len(self._steps) >= MOST_STEPS:
+            self._steps.clear()
+        self._steps[key] = (new, old, gains)
+        return gains
+
     def exposure_in_full(self, host: str) -> float:
         """The same from every proxy one by one: what the classes are measured and tested against."""
         calls = 0.0
