--- a/tests/test_config_and_roster.py
+++ b/tests/test_config_and_roster.py
@@ -25,6 +25,8 @@
 def changed(place: str, value: Any) -> bytes:
     """The example with one value put in, or taken out where it is None."""
     top = json.loads(json.dumps(GOOD))
+    if place.startswith("front."):
+        top["front"] = {"listen": "10.0.0.1:80"}
     *path, last = [int(part) if part.isdigit() else part for part in place.split(".")]
     inner = top
     for part in path:
@@ -46,6 +48,10 @@
 @pytest.mark.parametrize(
     ("place", "value", "told"),
     [
+        ("front.listen", "10.0.0.1:80", ("$.front.credentials", "missing")),
+        ("front.identity", "none", ("$.front.identity", "is for loopback alone")),
+        ("front.idle_ms", 5, ("$.front.idle_ms", "under two reports")),
+        ("front.connections_most", 5, ("$.front.connections_most", "make four each, more than 5")),
         ("chanel", {}, ("$.chanel", "is 'channel' meant?")),
         ("rules.drain_grace", 3, ("$.rules.drain_grace", "is 'drain_grace_ms' meant?")),
         ("routes.1.slo_ms", 3, ("$.routes[1].slo_ms", "'slo_time_ms'")),
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -5,7 +5,9 @@
 import gzip
 import hashlib
 import json
+import random
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -13,19 +15,24 @@
 import pytest
 import trio
 import zstandard
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_service import Log, Roster, until
+from test_service import ByHand, Log, Roster, until
 
+from willowhook.cli.main import main
 from willowhook.config.example import EXAMPLE
 from willowhook.config.terms import FrontTerms
 from willowhook.director.run import Service
+from willowhook.files.swap import read_group
 from willowhook.front.bodies import Bodies, chosen
 from willowhook.front.identity import Bearer, CredentialError
 from willowhook.front.limits import Bucket, Gate
 from willowhook.front.serve import Line, Server, Times, Waiting
 from willowhook.front.turns import Turns
 from willowhook.records.writer import read_records
+from willowhook.rules import Director
+from willowhook.trial.swaps import Churn
 from willowhook.web.wire import Call, Caller, Reply, answer_calls, dial
 from willowhook.xds import forms, tables
 from willowhook.xds.codec import decode, encode
@@ -334,6 +341,23 @@
             await caller.close()
 
 
+class Held:
+    """What a proxy holds, however it was told."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, dict[str, Any]] = {"cds": {}, "eds": {}, "rds": {}}
+
+    def whole(self, kind: str, got: forms.DiscoveryResponse) -> None:
+        rows = [json.loads(bytes(raw)) for raw in got.resources]
+        self.rows[kind] = {row.get("cluster_name") or row["name"]: row for row in rows}
+
+    def delta(self, kind: str, got: forms.DeltaDiscoveryResponse) -> None:
+        for row in got.resources:
+            self.rows[kind][row.name] = json.loads(bytes(row.resource))
+        for name in got.removed_resources:
+            self.rows[kind].pop(name, None)
+
+
 def hosts_of(got: forms.DiscoveryResponse) -> set[str]:
     rows = [decode(bytes(raw), forms.ClusterLoadAssignment) for raw in got.resources]
     return {line[0] for table in rows for line in tables.lines(table) if not line[5]}
@@ -342,7 +366,7 @@
 Play = Callable[[Service, Roster, Log], Awaitable[None]]
 
 
-def directed(tmp_path: Path, play: Play, **parts: Any) -> Log:
+def directed(tmp_path: Path, play: Play, decider: Any = Director, **parts: Any) -> Log:
     """Runs a director with a front while `play` goes on."""
     log = Log()
 
@@ -370,7 +394,7 @@
                 records=replace(EXAMPLE.records, file=str(tmp_path / "records")),
                 front=replace(front, **parts),
             )
-            service = Service(terms, log=log)
+            service = Service(terms, log=log, decider=decider)
             await nursery.start(service.run)
             with trio.fail_after(30):
                 await play(service, roster, log)
@@ -432,6 +456,88 @@
     directed(tmp_path, play)
 
 
+class Restless(Churn):
+    """Orders by chance, for a while, then keeps still."""
+
+    left = 60
+
+    def timer_due(self, now: int, key: int) -> None:
+        if self.hosts and len(self.joined) == 3 and self.left:
+            self.left -= 1
+            chance = random.Random(self.left)
+            for name in self.hosts:
+                self.host.line(chance.randrange(3), name, chance.choice([0.0, 0.5, 1.0, 2.5]))
+            self.host.withdraw(chance.choice(self.hosts), chance.random() < 0.5)
+            self.host.allow(
+                chance.randrange(3), 1 << chance.randrange(2), chance.randrange(3), 5.0 * self.left
+            )
+            for proxy in self.joined:
+                self.host.bind(proxy, self.left % 3, 1 << self.left % 2)
+        if self.left == 0:
+            self.left = -1
+            for name in self.hosts:
+                self.host.line(1, name, 1.0)
+            for proxy in self.joined:
+                self.host.bind(proxy, 1, 0)
+        self.host.after(200, 0)
+
+    def order(self) -> None:
+        """The list alone changes nothing."""
+
+
+def test_both_fronts_give_the_same_for_the_same_orders(tmp_path: Path) -> None:
+    """A proxy on files, one that is told whole and one by difference, through sixty changes."""
+
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        by_files, by_calls, by_delta = ByHand(service, "p3"), ByCalls(service, "p1"), ByCalls(service, "p2")
+        by_files.join()
+        one, two = Held(), Held()
+
+        async def whole(kind: str) -> None:
+            version = nonce = ""
+            while True:
+                reply = await by_calls.whole(kind, version, nonce)
+                nonce = ""
+                if reply.status == 200:
+                    got = decode(reply.body, forms.DiscoveryResponse)
+                    version, nonce = got.version_info, got.nonce
+                    one.whole(kind, got)
+
+        async def delta(kind: str, word: str) -> None:
+            path = f"/envoy.service.{word.lower()}.v3.{word}DiscoveryService/Delta{word}s".encode()
+            nonce = ""
+            while True:
+                asked = forms.DeltaDiscoveryRequest(by_delta.node, forms.FILES[kind], response_nonce=nonce)
+                reply = await by_delta.post(path, encode(asked))
+                nonce = ""
+                if reply.status == 200:
+                    got = decode(reply.body, forms.DeltaDiscoveryResponse)
+                    nonce = got.nonce
+                    two.delta(kind, got)
+
+        async with trio.open_nursery() as nursery:
+            for kind, word in (("cds", "Cluster"), ("eds", "Endpoint"), ("rds", "Route")):
+                nursery.start_soon(whole, kind)
+                nursery.start_soon(delta, kind, word)
+            decider: Any = service.director
+            await until(lambda: decider.left == -1, 20)
+            with trio.fail_after(5):
+                same = False
+                while not same:
+                    await trio.sleep(0.1)
+                    by_files.answer()
+                    files = Held()
+                    for name, data in read_group(str(by_files.down))[1].items():
+                        files.whole(name[:-5], decode(data, forms.DiscoveryResponse))
+                    same = files.rows == one.rows == two.rows
+            assert len(files.rows["cds"]) == len(service.terms.routes) and files.rows["rds"]
+            nursery.cancel_scope.cancel()
+        await by_calls.close()
+        await by_delta.close()
+
+    directed(tmp_path, play, decider=partial(Restless, bool))
+
+
 def test_nobody_asks_for_another_and_bad_calls_are_told_why(tmp_path: Path) -> None:
     async def play(service: Service, roster: Roster, log: Log) -> None:
         one, two = ByCalls(service, "p1"), ByCalls(service, "p2")
@@ -535,6 +641,27 @@
     directed(tmp_path, play)
 
 
+def test_operators_see_who_runs_what_and_why_not(tmp_path: Path) -> None:
+    async def play(service: Service, roster: Roster, log: Log) -> None:
+        one = ByCalls(service, "p1")
+        got = await one.settle()
+        roster.hosts["b"], roster.index = True, 2
+        reply = await one.whole("eds", got["eds"].version_info, got["eds"].nonce)
+        while reply.status != 200:
+            reply = await one.whole("eds", got["eds"].version_info)
+        bad = decode(reply.body, forms.DiscoveryResponse)
+        await one.whole("eds", got["eds"].version_info, bad.nonce, "I do not like it")
+        await trio.sleep(0.3)
+        shown = CliRunner().invoke(main, ["versions", str(tmp_path / "records")]).output
+        assert "1 proxies are here: 1 cds acknowledged" in shown and "1 rds acknowledged" in shown
+        shown = CliRunner().invoke(main, ["versions", str(tmp_path / "records"), "--proxy", "p1"]).output
+        assert "refused" in shown and "I do not like it" in shown
+        await one.close()
+
+    directed(tmp_path, play)
+    assert CliRunner().invoke(main, ["versions", str(tmp_path / "none")]).exit_code == 2
+
+
 def test_a_front_without_credentials_does_not_start(tmp_path: Path) -> None:
     async def play(service: Service, roster: Roster, log: Log) -> None:
         raise AssertionError("it started")
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -5,6 +5,7 @@
 import json
 import math
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -30,7 +31,8 @@
 
     module = {
         "DiscoveryResponse": discovery_pb2, "DiscoveryRequest": discovery_pb2,
-        "LoadStatsRequest": lrs_pb2, "ClientConfig": csds_pb2,
+        "DeltaDiscoveryRequest": discovery_pb2, "DeltaDiscoveryResponse": discovery_pb2,
+        "LoadStatsResponse": lrs_pb2, "LoadStatsRequest": lrs_pb2, "ClientConfig": csds_pb2,
     }[kind]  # fmt: skip
     return json_format.Parse(data, getattr(module, kind)())
 
@@ -55,6 +57,22 @@
     strictly(rds, "DiscoveryResponse")
 
 
+def test_calls_by_difference_are_what_the_published_types_say() -> None:
+    node = forms.Node("p1", "calls", forms.Locality(zone="north"), {"term": 3, "holds": [{"name": "t0"}]})
+    asked = forms.DeltaDiscoveryRequest(
+        node, forms.ASSIGNMENT, ["t0", "*"], ["t1"], {"t0": "1.7"}, "1.6-1.7", forms.Status(3, "no")
+    )
+    got = strictly(encode(asked), "DeltaDiscoveryRequest")
+    assert dict(got.initial_resource_versions) == {"t0": "1.7"} and got.error_detail.message == "no"
+    table = msgspec.Raw(encode(tables.assignment("t0", LINES)))
+    answer = forms.DeltaDiscoveryResponse(
+        "1.8", [forms.Resource("t0", "1.8", table)], forms.ASSIGNMENT, ["t1"], "1.7-1.8"
+    )
+    told = strictly(encode(answer), "DeltaDiscoveryResponse")
+    assert told.resources[0].resource.type_url == forms.ASSIGNMENT and list(told.removed_resources) == ["t1"]
+    strictly(encode(forms.LoadStatsResponse(True, "1.5s")), "LoadStatsResponse")
+
+
 def test_every_kind_of_file_up_is_what_the_published_types_say() -> None:
     node = forms.Node("p1", "calls", forms.Locality(zone="north"), {"usual_calls_per_s": 3.5})
     request = forms.DiscoveryRequest(
--- a/willowhook/cli/commands.py
+++ b/willowhook/cli/commands.py
@@ -168,3 +168,22 @@
             click.echo(f"{place.name}: cannot be read: {fault}", err=True)
             bad = True
     sys.exit(1 if bad else 0)
+
+
+@main.command()
+@click.argument("records", type=click.Path())
+@click.option("--proxy", default="", help="One proxy in full.")
+def versions(records: str, proxy: str) -> None:
+    """Who runs which version, what is refused and why, by a director's RECORDS, also of one that runs."""
+    from ..records.states import States
+    from ..records.writer import read_records
+
+    states = States()
+    try:
+        for row in read_records(records):
+            states.take(row)
+    except OSError as fault:
+        click.echo(f"{records}: {fault.strerror}", err=True)
+        sys.exit(2)
+    for line in states.lines(proxy):
+        click.echo(line)
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -265,3 +265,20 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command("fuzz-front")
+@click.option("--inputs", type=click.IntRange(10, 10_000_000), default=20_000, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def fuzz_front(inputs: int, seed: int, folder: str) -> None:
+    """Malformed calls at a real director's front: no crash, no hang, no growth."""
+    import tempfile
+
+    from ..trial.fuzz import fuzz as run
+
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = run(root, inputs, seed, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/config/check.py
+++ b/willowhook/config/check.py
@@ -138,5 +138,24 @@
         )
     if fleet.reports_per_s * 60 < fleet.proxies:
         yield "$.fleet.reports_per_s", f"{fleet.proxies} proxies could report less than once a minute"
+    front = terms.front
+    if front.listen:
+        address = front.listen.rpartition(":")[0]
+        if front.identity == "none" and address != "localhost" and not address.startswith("127."):
+            yield "$.front.identity", f"'none' is for loopback alone, and {address} is not"
+        if front.identity == "bearer" and not front.credentials:
+            yield "$.front.credentials", "missing: the file of the proxies' tokens"
+        if front.idle_ms < 2 * fleet.report_every_ms:
+            yield (
+                "$.front.idle_ms",
+                f"{front.idle_ms:g} is under two reports of {fleet.report_every_ms:g} ms: each would need a"
+                " connection of its own",
+            )
+        if front.connections_most < 4 * fleet.proxies / terms.directors:
+            yield (
+                "$.front.connections_most",
+                f"{fleet.proxies} proxies of {terms.directors} directors make four each, more than"
+                f" {front.connections_most}",
+            )
     if fleet.load_reports == "probe" and not fleet.probe_path:
         yield "$.fleet.probe_path", "load is told to probes only, and there is no path to probe"
