--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import json
 import multiprocessing
 import os
 import signal
@@ -12,10 +13,12 @@
 
 import pytest
 import trio
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from willowhook.cli.main import main
 from willowhook.store import frames
 from willowhook.store.commit import Committer
 from willowhook.store.outcomes import (
@@ -364,3 +367,40 @@
     free.out(0, 0)
     assert free.repeat(10**9) == AGAIN
     assert after_crash(None, False).state() == NOT_DONE and after_crash(None, True).state() == UNKNOWN
+
+
+def test_an_operator_checks_dumps_and_repairs_and_nothing_is_invented(tmp_path: Path) -> None:
+    folder = str(tmp_path / "s")
+    store = Store(folder, segment_bytes=400)
+    for k in range(30):
+        store.write(put(f"k{k:02}", b"value %d" % k, at=k))
+        store.flush()
+    store.close()
+
+    def told(*args: str) -> tuple[int, str]:
+        done = CliRunner().invoke(main, ["store", *args])
+        return done.exit_code, done.output
+
+    assert told("check", folder)[0] == 0 and told("check", str(tmp_path / "no"))[0] == 2
+    assert json.loads(told("stats", folder)[1])["spaces"]["orders"]["entries"] == 30
+    assert json.loads(told("dump", folder, "--key", "k07")[1])["value"] == "value 7"
+    bad = sorted((tmp_path / "s").glob("seg-*"))[2]
+    data = bytearray(bad.read_bytes())
+    data[60] ^= 4
+    bad.write_bytes(data)
+    code, text = told("check", folder)
+    assert code == 1 and f"{bad.name}: from byte 32" in text and "are lost" in text
+    before = {row["key"]: row["value"] for row in map(json.loads, told("dump", folder)[1].splitlines())}
+    assert len(before) == 29
+    held = Store(folder)
+    assert held.damaged and told("repair", folder)[0] == 3
+    held.close()
+    code, text = told("repair", folder)
+    assert code == 0 and "put aside" in text
+    code, text = told("check", folder)
+    assert code == 1 and "lost before" in text  # until somebody says that it is seen
+    assert told("repair", folder, "--seen")[0] == 0 and told("check", folder)[0] == 0
+    after = [json.loads(line) for line in told("dump", folder, "--space", "orders")[1].splitlines()]
+    assert {row["key"]: row["value"] for row in after} == {
+        k: v for k, v in before.items() if k[0] == "k"
+    } | {}
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -282,3 +282,36 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command("cuts")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--steps", type=click.IntRange(5, 10_000), default=60, show_default=True, help="Writes.")
+@click.option(
+    "--power-steps", type=click.IntRange(0, 10_000), default=60, show_default=True,
+    help="Writes of the history in which the power fails after every operation.",
+)  # fmt: skip
+def cuts_trial(seed: int, steps: int, power_steps: int) -> None:
+    """Every file of a store cut and flipped at every byte, and caught by power failures (in memory)."""
+    from ..trial.cuts import cuts as run
+
+    done = run(seed, steps, power_steps, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
+
+
+@trial.command("store-kills")
+@click.option("--kills", type=click.IntRange(1, 100_000), default=500, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def store_kills(kills: int, seed: int, folder: str) -> None:
+    """A program that commits and compacts is killed, over and over."""
+    import tempfile
+
+    from ..trial.kills import kills as run
+
+    done = run(Path(folder or tempfile.mkdtemp(prefix="willowhook-")), kills, seed, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
