A director keeps evidence, withdrawals and who ran what for its next life

After a restart what was met in the last 10 s is told to the module, for hosts that are listed and did not start since.

--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -30,6 +30,7 @@
 )
 @click.option("--guard", type=click.Choice(["on", "shadow", "off"]), default="on", show_default=True)
 @click.option("--front", type=click.Choice(["files", "calls", "mixed"]), default="files", show_default=True)
+@click.option("--store", type=click.Choice(["none", "kept", "aged"]), default="none", show_default=True)
 def badday(
     seed: int,
     seeds: int,
@@ -40,6 +41,7 @@
     durability: str,
     guard: str,
     front: str,
+    store: str,
     folder: str,
 ) -> None:
     """A scripted bad day: directors die, hosts fail, and the rules must hold."""
@@ -59,6 +61,7 @@
         durability=durability,
         guard=guard,
         front=front,
+        store=store,
     )
     if seeds > 1:
         for line in days.summary(rounds):
@@ -79,9 +82,10 @@
 @click.option("--folder", type=click.Path(), default="")
 @click.option("--guard", type=click.Choice(["on", "shadow", "off"]), default="on", show_default=True)
 @click.option("--front", type=click.Choice(["files", "calls", "mixed"]), default="files", show_default=True)
+@click.option("--store", type=click.Choice(["none", "kept", "aged"]), default="none", show_default=True)
 def replay(
     kinds: tuple[str, ...], seed: int, length: float, hosts: int, proxies: int, directors: int, calls: float,
-    guard: str, front: str, folder: str,
+    guard: str, front: str, store: str, folder: str,
 ) -> None:  # fmt: skip
     """Let these KINDS of trouble strike the real director, one after the other; the bench's names do too."""
     import tempfile
@@ -98,7 +102,7 @@
     size = {"hosts": hosts, "proxies": proxies, "directors": directors, "calls_per_s": calls}
     day = days.replay_day(names, seed, length, **size)
     root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
-    done = days.one(day, root, (), click.echo, guard=guard, front=front)
+    done = days.one(day, root, (), click.echo, guard=guard, front=front, store=store)
     for line in days.report(done):
         click.echo(line)
     sys.exit(0 if done.director.kept else 1)
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -156,6 +156,13 @@
     cache_bytes: Annotated[int, Meta(ge=0, le=1 << 34)] = 64 << 20
 
 
+class StoreTerms(Part, frozen=True, kw_only=True):
+    """What a director keeps for its next life; without a folder nothing."""
+
+    folder: str = ""
+    lasts_ms: Positive = 10_000  # for so long what was met is of use after a restart
+
+
 class LinkTerms(Part, frozen=True, kw_only=True):
     """Links between directors, where an installation allows them; none is needed."""
 
@@ -185,3 +192,4 @@
     guard: GuardTerms = GuardTerms()
     rollout: RolloutTerms = RolloutTerms()
     front: FrontTerms = FrontTerms()
+    store: StoreTerms = StoreTerms()
--- a/willowhook/director/publish.py
+++ b/willowhook/director/publish.py
@@ -40,6 +40,8 @@
     def is_open(self, host: str) -> bool: ...
     def answered(self, now: int, proxy: int, mark: int, took: int) -> None: ...
     async def soon(self, event: Callable[[int], None]) -> None: ...
+    def knows(self, proxy: str, part: str, version: str) -> None: ...
+    def sent(self, proxy: str, term: int, message: int) -> None: ...
 
 
 @dataclass(slots=True)
@@ -328,6 +330,7 @@
         if self.readers.get(proxy) is not reader:  # it left, or came again, while the disk worked
             return True
         self.tell_guard(self.watchman.sent, now, message, self._version(reader, message))
+        self._ear.sent(reader.name, reader.term, message.number)
         for unit, content in contents:
             self.rollout.offered(now, proxy, unit, content)
         reader.contents[message.number] = contents
@@ -436,5 +439,6 @@
         self.records.note(now, "refused", proxy=reader.name, form=kind, what=what, cause=cause[:300])
 
     def believes(self, reader: Reader, kind: str, version: str, state: str) -> None:
+        self._ear.knows(reader.name, kind, version)
         self.records.note(self._ear.now(), "belief", proxy=reader.name, term=reader.term, part=kind,
                           version=version, state=state)  # fmt: skip
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -27,6 +27,7 @@
 from ..roster.forms import Host
 from ..rules import Director
 from ..state import Ring
+from ..store.store import StoreError
 from ..versions.core import Core, first_era
 from ..web.wire import Broken, Caller, dial
 from ..xds import orca
@@ -35,6 +36,7 @@
 from .intake import Intake
 from .links import Post, listen, read, write
 from .list_feed import ListFeed
+from .memory import Memory
 from .outlets import FileOutlet, Outlet
 from .proxy_feed import ProxyFeed
 from .publish import Publisher, Reader
@@ -69,6 +71,8 @@
     def withdraw(self, host: str, on: bool) -> None:
         self._service.book.withdraw(host, on)
         self._service.records.note(self._service.clock.now(), "withdraw" if on else "readmit", host=host)
+        if self._service.memory is not None:
+            self._service.memory.withdrawn(host, on)
 
     def tell(self, peer: int | None, data: bytes) -> None:
         raise NotImplementedError("directors do not talk to each other")
@@ -139,6 +143,14 @@
         self._watch: Watch = open_watch(terms.files.watch, terms.files.poll_every_ms / 1000)
         epoch = self.folder.epoch
         self.renderer = Renderer(terms, epoch)
+        self.memory: Memory | None = None
+        if terms.store.folder:
+            try:
+                lasts = ticks(terms.store.lasts_ms)
+                self.memory = Memory(terms.store.folder, terms.name, epoch, lasts, self.say)
+            except (StoreError, OSError) as fault:  # it is advice: a director does without
+                self._mode("store", True, "no store", cause=str(fault))
+        self._recalled = False
         routes = tuple(route.name for route in terms.routes)
         self.book = OrderBook(self.facts, self._ordered)
         self.core = Core(first_era(epoch, int.from_bytes(os.urandom(3), "big")))
@@ -171,6 +183,8 @@
                 nursery.start_soon(self.lists.follow)
                 nursery.start_soon(self.lists.fetch_whole)
                 nursery.start_soon(self.publisher.run)
+                if self.memory is not None:
+                    nursery.start_soon(self.memory.run)
                 nursery.start_soon(self.proxies.run)
                 nursery.start_soon(self._decide)
                 for k in range(len(self._posts)):
@@ -191,6 +205,8 @@
             self.records.flush()
             self._watch.close()
             self.folder.close()
+            if self.memory is not None:
+                self.memory.close()
 
     def _note_guard(self) -> None:
         """What the guard did in this life, and what a check cost."""
@@ -322,6 +338,14 @@
     def answered(self, now: int, proxy: int, mark: int, took: int) -> None:
         self.director.mark_answered(now, proxy, mark, took)
 
+    def knows(self, proxy: str, part: str, version: str) -> None:
+        if self.memory is not None:
+            self.memory.believes(proxy, part, version)
+
+    def sent(self, proxy: str, term: int, message: int) -> None:
+        if self.memory is not None:
+            self.memory.ordered(proxy, term, message)
+
     async def soon(self, event: Event) -> None:
         await self._send.send(event)
 
@@ -347,6 +371,22 @@
             started = self.clock.start_of(host)
             self.director.host_listed(now, host.id, mode, started, host.cell, host.size, host.kind, host.zone)
         self.director.list_ended(now)
+        if self.memory is not None:
+            self.memory.listed({host.id: [host.draining, host.started] for host in hosts})
+            self._recall(now, hosts)
+
+    def _recall(self, now: int, hosts: list[Host]) -> None:
+        """Once, with the first list: what this director met with these hosts in its life before."""
+        if self._recalled or not hosts or self.memory is None:
+            return
+        self._recalled = True
+        rows = self.memory.recall({host.id: host.started for host in hosts if not host.draining})
+        for host, sums, _ in rows:
+            args = (sums.tries, sums.errors, sums.mean, sums.window, dict[str, float]())
+            self.director.hosts_heard(now, host, sums.zone, *args)
+        self.records.note(now, "recalled", hosts=len(rows), life=self.memory.last_life)
+        if rows:
+            self.log.info("recalls what it met", hosts=len(rows), oldest_ms=max(row[2] for row in rows) // 10)
 
     async def _probe(self, host: Host) -> None:
         began, outcome, told = self.clock.now(), TIMED_OUT, dict[str, float]()
@@ -483,6 +523,8 @@
         if host is not None:
             zone = self.book.members[proxy].zone
             self.publisher.rollout.met(self.clock.now(), proxy, tries, errors)
+            if self.memory is not None:
+                self.memory.met(self.clock.now(), host, zone, tries, errors, mean)
             if self._posts:
                 ring = self._met.setdefault(proxy, {}).get(host)
                 if ring is None:
--- a/willowhook/trial/stage.py
+++ b/willowhook/trial/stage.py
@@ -26,8 +26,9 @@
 import trio
 
 from ..config.facts import ticks as ms_ticks
-from ..config.terms import FrontTerms, GuardTerms, Terms
+from ..config.terms import FrontTerms, GuardTerms, StoreTerms, Terms
 from ..files.layout import DRAIN
+from ..store.store import Op, Store
 from .day import ZONES, Day, HostPlan, Trouble, terms_of
 from .judge import Judge, Limits, Verdict
 from .notes import SECOND, Notes, read_notes, ticks
@@ -73,9 +74,12 @@
     def __init__(
         self, day: Day, folder: Path, how: str = "director", director: Sequence[str] = (),
         say: Callable[[str], None] = lambda text: None, durability: str = "none", guard: str = "on",
-        front: str = "files",
+        front: str = "files", store: str = "none",
     ) -> None:  # fmt: skip
-        """`front`: files, calls or mixed, by which proxies are told."""
+        """`front`: files, calls or mixed, by which proxies are told; `store`: none, kept, or aged by an hour
+        at each restart.
+        """
+        self.store = store
         self.day, self.folder, self.how, self.say = day, folder, how, say
         self.command = list(director) or [sys.executable, "-m", "willowhook.cli"]
         self.durability, self.fenced, self.guard = durability, True, guard
@@ -153,6 +157,11 @@
         terms = terms_of(self.day, rank, self.director_folder(rank), url, records, durability=self.durability)
         terms = msgspec.structs.replace(terms, guard=msgspec.convert({"mode": self.guard}, GuardTerms))
         terms = self.with_front(terms, rank)
+        if self.store != "none":
+            place = self.folder / f"store-{rank}"
+            if self.store == "aged" and place.exists():
+                age_store(str(place), 3600)
+            terms = msgspec.structs.replace(terms, store=StoreTerms(folder=str(place)))
         path = self.folder / f"director-{rank}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(terms)))
         args = [*self.command, "director", "--config", str(path), "--log-format", "json"]
@@ -562,6 +571,15 @@
         self.tell_crews(do="lossy", proxies=[], hosts=[], share=0)
 
 
+def age_store(folder: str, seconds: int) -> None:
+    """As if its director had been away for so much longer."""
+    store = Store(folder)
+    for space, rows in list(store.state.items()):
+        store.write([Op(space, key, e.at - seconds * SECOND, e.value) for key, e in rows.items()])
+    store.flush()
+    store.close()
+
+
 TROUBLES = sorted(name.removeprefix("strike_") for name in dir(Stage) if name.startswith("strike_"))
 
 
