--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -4,6 +4,7 @@
 
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -139,6 +140,8 @@
 @click.option(
     "--fence/--no-fence", default=True, show_default=True, help="Whether proxies look at terms and folders."
 )
+@click.option("--front", type=click.Choice(["files", "calls", "mixed"]), default="files", show_default=True)
+@click.option("--store", type=click.Choice(["none", "kept", "aged"]), default="none", show_default=True)
 @click.option("--folder", type=click.Path(), default="")
 def takeover(
     kills: int,
@@ -148,6 +151,8 @@
     proxies: int,
     undisturbed: bool,
     fence: bool,
+    front: str,
+    store: str,
     folder: str,
 ) -> None:
     """Kill, stop and start directors over and over; nothing may take effect twice."""
@@ -156,7 +161,7 @@
     from ..trial.takeover import takeover as run
 
     root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
-    size = {"directors": directors, "proxies": proxies}
+    size: dict[str, Any] = {"directors": directors, "proxies": proxies, "front": front, "store": store}
     done = run(seed, kills, every, root, click.echo, fence, not undisturbed, **size)
     for line in done.lines():
         click.echo(line)
--- a/willowhook/store/commit.py
+++ b/willowhook/store/commit.py
@@ -50,8 +50,6 @@
         done = self._waits[number] = trio.Event()
         self._news.set()
         await done.wait()
-        for key in [key for key, event in self._waits.items() if event is done]:
-            del self._waits[key]
         if id(done) in self._lost:
             del self._lost[id(done)]
             if self.store.read_only:
@@ -79,7 +77,7 @@
                 self.groups += 1
                 self.kept += len(batch)
                 for each in batch:
-                    if (event := self._waits.get(each.number)) is not None:
+                    if (event := self._waits.pop(each.number, None)) is not None:
                         event.set()
                 self._tell()
 
--- a/willowhook/store/store.py
+++ b/willowhook/store/store.py
@@ -379,7 +379,7 @@
         """Takes a group that counts whole or not at all; its number.  None: dropped, as the disk is full."""
         if self.read_only:
             raise StoreError(f"read-only: {self.read_only}")
-        rank = max((self._ranks.get(op.space, ORDERS) for op in ops), default=ORDERS)
+        rank = max([self._ranks.get(op.space, ORDERS) for op in ops], default=ORDERS)
         if rank < self.level:
             self.dropped += 1
             return None
--- a/willowhook/trial/takeover.py
+++ b/willowhook/trial/takeover.py
@@ -226,12 +226,12 @@
 
 def takeover(
     seed: int, kills: int, every_s: float, folder: Path, say: Callable[[str], None], fenced: bool = True,
-    strikes: bool = True, **size: Any,
+    strikes: bool = True, front: str = "files", store: str = "none", **size: Any,
 ) -> Takeover:  # fmt: skip
     """`strikes` False: the same day with nobody struck, to set the service beside."""
     day = takeover_day(seed, kills, every_s, **size)
     shutil.rmtree(folder, ignore_errors=True)
-    stage = TakeoverStage(day, folder, kills if strikes else 0, every_s)
+    stage = TakeoverStage(day, folder, kills if strikes else 0, every_s, front=front, store=store)
     stage.fenced = fenced
     outcome = trio.run(stage.run)
     return look_back(stage, outcome)
