--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -324,3 +324,19 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command("restart")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--seeds", type=click.IntRange(1, 100), default=3, show_default=True)
+@click.option("--restarts", type=click.IntRange(1, 1000), default=5, show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def restart_trial(seed: int, seeds: int, restarts: int, folder: str) -> None:
+    """A director dies and comes back while hosts fail: with its store, without one, with one an hour old."""
+    import tempfile
+
+    from ..trial.restart import restarts as run
+
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = run(root, range(seed, seed + seeds), restarts, click.echo)
+    sys.exit(0 if all(row.kept for row in done) else 1)
