--- a/willowhook/cli/main.py
+++ b/willowhook/cli/main.py
@@ -1,6 +1,6 @@
 """The command line with all of its sub-commands."""
 
-from . import guard, store, trial
+from . import guard, imports, store, trial
 from .commands import main
 
-__all__ = ["guard", "main", "store", "trial"]
+__all__ = ["guard", "imports", "main", "store", "trial"]
--- /dev/null
+++ b/willowhook/nginx/__init__.py
@@ -0,0 +1,1 @@
+"""Reads upstream and location blocks in the published configuration language."""
