--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import re
 from pathlib import Path
@@ -15,6 +16,7 @@
 from willowhook.nginx.locations import Location, Matcher, read_all
 from willowhook.nginx.syntax import Directive, Loader, SyntaxFault, parse, text_of
 from willowhook.nginx.upstreams import Retry, Upstream, passed_to, retry_of, upstream_of
+from willowhook.nginx.verdicts import CARRIED, DIFFERS, LEFT, REFUSED, verdicts
 
 GOOD = """
 # a comment; with { marks }
@@ -271,3 +273,66 @@
     path.write_text(CONF.replace("weight=3", "weight=0"))
     done = CliRunner().invoke(main, ["import", "nginx", str(path), "--explain", "/"])
     assert done.exit_code == 2 and "nginx.conf:4:" in done.output
+
+
+SAMPLES: list[tuple[str, list[str]]] = [
+    ("location /a/ { proxy_pass http://t; }", [CARRIED, CARRIED]),
+    ("location /a { proxy_pass http://t/b; }", [DIFFERS, DIFFERS]),
+    ("location = /a { proxy_pass https://t; }", [DIFFERS, DIFFERS]),
+    ("location ~ x { proxy_pass http://$up; }", [LEFT, LEFT]),
+    ("location @n { internal; }", [LEFT, LEFT]),
+    ("location ~ ( { }", [REFUSED]),
+    ("upstream t { server a; server b weight=2; }", [CARRIED, CARRIED, CARRIED]),
+    (
+        "upstream t { server a max_conns=3; server b backup; server c down; }",
+        [CARRIED, DIFFERS, DIFFERS, CARRIED],
+    ),
+    ("upstream t { server a slow_start=9s; zone z 1m; keepalive 3; }", [CARRIED, DIFFERS, LEFT, LEFT]),
+    ("upstream t { hash $k consistent; server a; }", [CARRIED, DIFFERS, CARRIED]),
+    ("upstream t { random; server a; }", [CARRIED, CARRIED, CARRIED]),
+    ("upstream t { }", [REFUSED]),
+    ("upstream t { server a weight=-1; }", [REFUSED, REFUSED]),
+    ("location /submit-task { proxy_next_upstream error non_idempotent; }", [DIFFERS, REFUSED]),
+    ("location /submit { proxy_next_upstream error non_idempotent; }", [DIFFERS, REFUSED]),
+    ("location / { proxy_next_upstream timeout; }", [CARRIED, DIFFERS]),
+    ("location /submit-task/ { proxy_next_upstream off; }", [CARRIED, CARRIED]),
+    ("location /load { proxy_next_upstream error non_idempotent; }", [DIFFERS, DIFFERS]),
+    ("proxy_next_upstream http_500 non_idempotent;", [REFUSED]),
+    ("limit_req zone=a; limit_conn b 3; proxy_read_timeout 3s;", [DIFFERS, LEFT, DIFFERS]),
+    ("events { worker_connections 3; } unheard_of x;", [LEFT, LEFT, LEFT]),
+    ("gzip on; ssl_certificate a; proxy_set_header a b; map $a $b { default c; }", [LEFT] * 5),
+]
+
+
+@pytest.mark.parametrize(("text", "wanted"), SAMPLES)
+def test_each_directive_has_its_verdict(text: str, wanted: list[str]) -> None:
+    found = verdicts(parse(text), ("/submit-task",))
+    assert [row.what for row in found] == wanted, [row.line() for row in found]
+    assert all(row.why for row in found if row.what != CARRIED)
+
+
+def test_every_directive_is_in_the_report_once(tmp_path: Path) -> None:
+    text = CONF + "".join(sample for sample, wanted in SAMPLES if REFUSED not in wanted)
+    count = len(re.findall(r"[;{]", text))  # each ends with one of the two
+    path = tmp_path / "nginx.conf"
+    path.write_text(text)
+    done = CliRunner().invoke(main, ["import", "nginx", str(path), "--json"])
+    rows = [json.loads(line) for line in done.output.splitlines()]
+    assert len(rows) == count == len({row["place"] for row in rows}) and done.exit_code == 0
+    assert CliRunner().invoke(main, ["import", "nginx", str(path), "--mutating", "/load"]).exit_code == 1
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.integers(0, len(SAMPLES) - 1),
+    st.integers(0, 60),
+    st.sampled_from(["", ";", "{", "}", "x", "$", " ", "0"]),
+)
+def test_a_mutated_sample_is_read_with_a_verdict_each_or_told(k: int, at: int, piece: str) -> None:
+    text = SAMPLES[k][0]
+    text = text[:at] + piece + text[at + 1 :]
+    try:
+        rows = parse(text)
+    except SyntaxFault:
+        return
+    assert len(verdicts(rows)) == sum(1 for top in rows for _ in top.walk())
