--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -22,6 +22,7 @@
 from willowhook.cli.main import main
 from willowhook.store import frames
 from willowhook.store.commit import Committer
+from willowhook.store.ledger import Ledger
 from willowhook.store.outcomes import (
     AGAIN,
     ANSWERED,
@@ -38,6 +39,7 @@
 from willowhook.store.store import DEBUG, OUTCOMES, Op, Reader, Store, StoreError, StoreTaken
 from willowhook.trial.cuts import cuts
 from willowhook.trial.power import PowerDisk
+from willowhook.trial.submits import submits
 
 
 def log(count: int, safes: dict[int, int] | None = None) -> bytes:
@@ -450,3 +452,51 @@
     assert {row["key"]: row["value"] for row in after} == {
         k: v for k, v in before.items() if k[0] == "k"
     } | {}
+
+
+# The ledger.
+
+
+def test_a_ledger_has_each_try_on_disk_before_it_leaves_and_knows_after_a_crash_what_may_be_repeated() -> (
+    None
+):
+    disk, ledgers = PowerDisk(), dict[str, str]()
+
+    def power_fails() -> None:
+        """Whatever was written is there, or only what was synced: the call is never told to be not done."""
+        for files in disk.crashes(random.Random(1), 4):
+            store = Store("s", PowerDisk.load(files), lock=False, chance=3)
+            ledger = Ledger(store, Committer(store))
+            for call in ("gone", "answered", "refused"):
+                ledgers[call] = ledger.of(call).repeat(0)
+            assert ledgers["gone"] == HOLD and ledgers["answered"] == TELL and ledgers["refused"] == AGAIN
+            assert set(ledger.pending()) == {"gone", "answered", "refused"}
+
+    async def run() -> None:
+        store = Store("s", disk, lock=False, chance=3)
+        committer = Committer(store)
+        ledger = Ledger(store, committer)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(committer.run)
+            for call, what in (
+                ("gone", ""),
+                ("answered", ANSWERED),
+                ("refused", NEVER_RAN),
+                ("known", ANSWERED),
+            ):
+                await ledger.begin(call, "mutating", 1)
+                number = await ledger.out(call, 2)
+                if what:
+                    await ledger.ended(call, number, what, 3, b"yes")
+            await ledger.told("known", 4)
+            again = await ledger.out("refused", 5)
+            await ledger.never_left("refused", again, 6)
+            power_fails()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_a_program_that_submits_and_is_killed_repeats_nothing_that_may_have_run(tmp_path: Path) -> None:
+    done = submits(tmp_path, 3, 2, lambda text: None)
+    assert done.good and done.told["done"] > 10, done.lines()
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -340,3 +340,19 @@
     root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
     done = run(root, range(seed, seed + seeds), restarts, click.echo)
     sys.exit(0 if all(row.kept for row in done) else 1)
+
+
+@trial.command("submits")
+@click.option("--kills", type=click.IntRange(1, 100_000), default=100, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def submits_trial(kills: int, seed: int, folder: str) -> None:
+    """A program that submits is killed, over and over: no effect twice, no outcome told wrongly."""
+    import tempfile
+
+    from ..trial.submits import submits as run
+
+    done = run(Path(folder or tempfile.mkdtemp(prefix="willowhook-")), kills, seed, click.echo)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
