--- a/willowhook/nginx/syntax.py
+++ b/willowhook/nginx/syntax.py
@@ -9,9 +9,10 @@
 
 import glob
 import os
+import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from lark import Lark, Token, Transformer, UnexpectedInput, v_args
 
@@ -19,23 +20,29 @@
 MOST_DEPTH = 100  # blocks within blocks
 MOST_FILES = 10_000
 
-GRAMMAR = r"""
+DOUBLE = r'"(?:[^"\\]|\\.)*+"(?=[\s;{}#]|$)'
+SINGLE = r"'(?:[^'\\]|\\.)*+'(?=[\s;{}#]|$)"
+BARE = r'(?:[^\s;{}"\'\\#$]|\\.|\$\{[^}\s]*\}|\$)(?:[^\s;{}\\$]|\\.|\$\{[^}\s]*\}|\$)*+'
+WORD = f"(?:{DOUBLE}|{SINGLE}|{BARE})"
+GAP = r"(?:\s|#[^\n]*\n)++"
+# the words of a directive are one token, taken apart when it is met: a token a word takes three times as long
+GRAMMAR = (
+    r"""
 start: item*
-item: WORD+ (";" | block)
+item: WORDS (";" | block)
 block: "{" item* "}"
-WORD: DOUBLE | SINGLE | BARE
-DOUBLE: /"(?:[^"\\]|\\.)*"(?=[\s;{}#]|$)/s
-SINGLE: /'(?:[^'\\]|\\.)*'(?=[\s;{}#]|$)/s
-BARE: /(?:[^\s;{}"'\\#$]|\\.|\$\{[^}\s]*\}|\$)(?:[^\s;{}\\$]|\\.|\$\{[^}\s]*\}|\$)*/s
 COMMENT: /#[^\n]*/
 %import common.WS
 %ignore WS
 %ignore COMMENT
 """
+    + f"WORDS: /{WORD}(?:{GAP}{WORD})*+/s\n"
+)
+_brace = re.compile(r"[{}]")
+_word = re.compile(f"({WORD})(?:{GAP})?", re.DOTALL)
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(NamedTuple):
     file: str
     line: int
     column: int
@@ -44,8 +51,7 @@
         return f"{self.file}:{self.line}:{self.column}"
 
 
-@dataclass(frozen=True, slots=True)
-class Word:
+class Word(NamedTuple):
     text: str  # without quotes, escapes taken
     place: Place
     quoted: bool = False
@@ -98,9 +104,9 @@
 
 @v_args(inline=True)
 class _Tree(Transformer[Token, Any]):
-    def __init__(self, file: str) -> None:
-        super().__init__()
-        self._file = file
+    """Directives as they are met; `file` is that which is being read."""
+
+    file = "-"
 
     def start(self, *items: Directive) -> list[Directive]:
         return list(items)
@@ -108,17 +114,27 @@
     def block(self, *items: Directive) -> list[Directive]:
         return list(items)
 
-    def item(self, *parts: Any) -> Directive:
-        words = [part for part in parts if isinstance(part, Word)]
-        block = parts[-1] if isinstance(parts[-1], list) else None
+    def item(self, token: Token, block: list[Directive] | None = None) -> Directive:
+        words = self._words(token)
         return Directive(words[0].text, words[1:], words[0].place, block)
 
-    def WORD(self, token: Token) -> Word:
-        text, quoted = unquoted(str(token))
-        return Word(text, Place(self._file, token.line or 0, token.column or 0), quoted)
+    def _words(self, token: Token) -> list[Word]:
+        text, line, column = str(token), token.line or 0, token.column or 0
+        found, seen, start = [], 0, 1 - column  # `start`: where the line would begin, in this text
+        for each in _word.finditer(text):
+            at = each.start()
+            if "\n" in text[seen:at]:
+                line += text.count("\n", seen, at)
+                start = text.rfind("\n", seen, at) + 1
+            seen = at
+            raw = each.group(1)
+            meant, quoted = unquoted(raw) if raw[0] in "\"'" or "\\" in raw else (raw, False)
+            found.append(Word(meant, Place(self.file, line, at - start + 1), quoted))
+        return found
 
 
-_parser = Lark(GRAMMAR, parser="lalr", lexer="basic", propagate_positions=False)
+_tree = _Tree()
+_parser = Lark(GRAMMAR, parser="lalr", lexer="basic", propagate_positions=False, transformer=_tree)
 Read = Callable[[str], bytes]
 
 
@@ -139,14 +155,16 @@
     """One file's directives; raises SyntaxFault."""
     depth = most = 0
     if text.count("{") > MOST_DEPTH:  # cheap, and exact only where it matters
-        for mark in text:
-            depth += (mark == "{") - (mark == "}")
+        for mark in _brace.finditer(text):
+            depth += 1 if mark[0] == "{" else -1
             most = max(most, depth)
         if most > MOST_DEPTH:
             raise SyntaxFault(Place(file, 1, 1), f"blocks {most} deep, {MOST_DEPTH} are read")
+    _tree.file = file
     try:
-        found: list[Directive] = _Tree(file).transform(_parser.parse(text))
-        return found
+        found: Any = _parser.parse(text)
+        rows: list[Directive] = found
+        return rows
     except UnexpectedInput as fault:
         lines = text.split("\n")
         at = Place(file, max(fault.line, 1), max(fault.column, 1))
