Routes by exact path, prefix or expression; closed paths; rings, rewrites and caps by route

A route has several paths now, tried in a stated order, each in the published form (path, prefix, safe_regex, prefix_rewrite); paths that no host gets are direct responses; a ring with its hash policy, a cap on calls and on tries are a route's own. A configuration as before gives the same files.

--- a/tests/test_director_parts.py
+++ b/tests/test_director_parts.py
@@ -320,7 +320,7 @@
     standing = tables.assignment("standing", [("a", "127.0.0.1", 81, "north", 1.0, False)])
     row = tables.route("load", "/load-task", "load@standing", 1, tables.retry(1, 0), {})
     cluster = tables.cluster("load@standing", "standing", "", "pair", 1, 0)
-    held = Held({"load": (row, encode(cluster), "standing")}, {"standing": standing})
+    held = Held({"load": ([row], encode(cluster), "standing")}, {"standing": standing})
     book.join(0, "north", {0: held.hosts("load")})
     book.withdraw("a", True)
     book.moment_over(0)
--- a/willowhook/cli/commands.py
+++ b/willowhook/cli/commands.py
@@ -149,11 +149,15 @@
             click.echo(f"{place.name}: {version}, version {envelope.version_info}")
             if "rds.json" in files:
                 for route in forms.read_routes(files["rds.json"])[1][0].virtual_hosts[0].routes:
+                    path = " ".join(forms.match_of(route.match)).removeprefix("below ")
+                    if route.direct_response is not None:
+                        click.echo(f"  {path} -> {route.direct_response.status}")
+                        continue
                     to = clusters[route.route.cluster].eds_cluster_config.service_name
                     share, rate = forms.level_of(route.typed_per_filter_config)
                     tries = forms.tries_of(route.route.retry_policy)
                     told = f"share {share:g}" + ("" if rate == float("inf") else f", {rate:.2f} calls/s")
-                    click.echo(f"  {route.match.path_separated_prefix} -> {to}: {told}, tries {tries}")
+                    click.echo(f"  {path} -> {to}: {told}, tries {tries}")
             for table in rows:
                 click.echo(f"  table {table.cluster_name}")
                 if table.cluster_name == DIRECTORS:
--- a/willowhook/config/check.py
+++ b/willowhook/config/check.py
@@ -4,11 +4,13 @@
 
 import difflib
 import json
+import re
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 
-from .terms import Terms
+from .terms import PathTerms, RouteTerms, Terms
 
 WORST = 4  # a channel is slower than it should be by this at times; a withdrawal must still fit the grace
 
@@ -79,6 +81,30 @@
     yield from walk(value, shape, place)
 
 
+def _paths(terms: Terms) -> Iterator[tuple[str, str]]:
+    """Every path is one that calls can have, and stands once."""
+    seen = dict[tuple[str, str], str]()
+    rows: list[tuple[str, str, PathTerms | RouteTerms]] = []
+    for at, route in enumerate(terms.routes):
+        rows.append((f"$.routes[{at}]", route.name, route))
+        rows += [(f"$.routes[{at}].more[{k}]", route.name, row) for k, row in enumerate(route.more)]
+    rows += [(f"$.closed[{at}]", "closed", row) for at, row in enumerate(terms.closed)]
+    for place, name, row in rows:
+        path = row.path.rstrip("/") or "/" if row.match == "below" else row.path
+        if row.match == "regex":
+            try:
+                re.compile(path)
+            except re.error as fault:
+                yield f"{place}.path", f"no expression: {fault}"
+            if row.rewrite:
+                yield f"{place}.rewrite", "an expression has no prefix to rewrite"
+        elif not path.startswith("/"):
+            yield f"{place}.path", f"{path!r} does not begin with /"
+        if (row.match, path) in seen:
+            yield f"{place}.path", f"is that of {seen[row.match, path]!r} too"
+        seen[row.match, path] = name
+
+
 def _against_each_other(terms: Terms) -> Any:
     channel, rules, fleet, files = terms.channel, terms.rules, terms.fleet, terms.files
     if terms.zone not in terms.zones:
@@ -87,15 +113,13 @@
         yield "$.zones", "a zone stands twice"
     if terms.rank >= terms.directors:
         yield "$.rank", f"{terms.rank} of {terms.directors} directors, which count from 0"
-    names, paths = set[str](), dict[str, str]()
+    names = set[str]()
+    yield from _paths(terms)
     for at, route in enumerate(terms.routes):
         place = f"$.routes[{at}]"
         if route.name in names:
             yield f"{place}.name", f"{route.name!r} stands twice"
         names.add(route.name)
-        if (path := route.path.rstrip("/") or "/") in paths:
-            yield f"{place}.path", f"is that of {paths[path]!r} too"
-        paths[path] = route.name
         if route.slo_time_ms > route.time_limit_ms:
             yield (
                 f"{place}.slo_time_ms",
--- a/willowhook/config/facts.py
+++ b/willowhook/config/facts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .. import host
-from .terms import RouteTerms, Terms
+from .terms import PathTerms, RouteTerms, Terms
 
 SEMANTICS = {"repeatable": "idempotent", "keyed": "deduplicated", "mutating": "at_most_once"}
 
@@ -30,6 +30,15 @@
     )
 
 
+def paths(terms: Terms) -> list[tuple[int, PathTerms | RouteTerms]]:
+    """All paths in the order in which they are tried, with their route's number; -1: closed."""
+    rows: list[tuple[int, PathTerms | RouteTerms]] = []
+    for k, route in enumerate(terms.routes):
+        rows += [(k, route), *((k, row) for row in route.more)]
+    rows += [(-1, row) for row in terms.closed]
+    return sorted(rows, key=lambda row: (row[1].order, -len(row[1].path)))
+
+
 def facts(terms: Terms) -> host.Facts:
     channel, rules, fleet = terms.channel, terms.rules, terms.fleet
     return host.Facts(
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -16,6 +16,7 @@
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
 Path = Annotated[str, Meta(pattern=r"^/[!-~]*$", max_length=200)]
+RoutePath = Annotated[str, Meta(min_length=1, max_length=1000)]
 
 
 class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -44,11 +45,41 @@
     timeout_ms: Positive = 2000
 
 
+Match = Literal["below", "exact", "prefix", "regex"]
+Order = Annotated[int, Meta(ge=0, le=100_000)]
+
+
+class PathTerms(Part, frozen=True, kw_only=True):
+    """Calls by their path, without arguments.
+
+    `match`: the path and all that lies below it, the path alone, all that begins with it, or all that an
+    expression (RE2) matches as a whole.  Paths are tried by `order`, of one order the longest first.
+    """
+
+    path: RoutePath
+    match: Match = "below"
+    order: Order = 100_000
+    rewrite: Annotated[str, Meta(max_length=200)] = ""  # what hosts are asked for in the place of `path`
+
+
+class ClosedTerms(PathTerms, frozen=True, kw_only=True):
+    """Calls that proxies answer by themselves."""
+
+    status: Annotated[int, Meta(ge=200, le=599)] = 404
+
+
 class RouteTerms(Part, frozen=True, kw_only=True):
-    """A route: calls whose path is `path` or lies below it."""
+    """A route: calls whose path is `path` or lies below it, and those of `more`."""
 
     name: Name
-    path: Path
+    path: RoutePath
+    match: Match = "below"
+    order: Order = 100_000
+    rewrite: Annotated[str, Meta(max_length=200)] = ""
+    more: tuple[PathTerms, ...] = ()
+    hash_by: Annotated[str, Meta(pattern=r"^$|^source_ip$|^(header|cookie|query):[!-~]+$")] = ""  # a ring
+    tries: Annotated[int, Meta(ge=0, le=3)] = 3  # no more are ordered, whatever is decided
+    most_per_s: AtLeast0 = 0  # calls at one proxy, as a cap on what is let in; 0: none
     slo_time_ms: Positive
     time_limit_ms: Positive
     importance: Positive = 1
@@ -184,6 +215,7 @@
     files: FileTerms
     roster: RosterTerms
     routes: Annotated[tuple[RouteTerms, ...], Meta(min_length=1, max_length=64)]
+    closed: tuple[ClosedTerms, ...] = ()
     channel: ChannelTerms
     rules: RuleTerms
     fleet: FleetTerms
--- a/willowhook/director/render.py
+++ b/willowhook/director/render.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from ..config.facts import SEMANTICS
-from ..config.terms import Terms
+from ..config.facts import SEMANTICS, paths
+from ..config.terms import ClosedTerms, PathTerms, RouteTerms, Terms
 from ..membership.claim import safe_tries
 from ..versions.core import Resource
 from ..xds import forms, tables
@@ -22,7 +22,7 @@
 CALLS = "calls"  # the one set of routes
 Address = tuple[str, int, str]  # address, port, zone
 Rows = dict[str, list[tuple[str, bytes]]]  # by type: names and bodies
-Row = tuple[forms.Route, bytes, str]  # what a proxy held for a route: its route, cluster, and table's name
+Row = tuple[list[forms.Route], bytes, str]  # what a proxy held for a route: paths, cluster, table's name
 
 
 @dataclass(slots=True)
@@ -31,6 +31,7 @@
 
     rows: dict[str, Row] = field(default_factory=dict)  # by route
     assignments: dict[str, forms.ClusterLoadAssignment] = field(default_factory=dict)
+    routes: list[forms.Route] = field(default_factory=list)  # all, in their order
 
     def weights(self, route: str) -> dict[str, float]:
         row = self.rows.get(route)
@@ -44,10 +45,8 @@
 
     def resources(self) -> Rows:
         """All of it, by type."""
-        clusters = {row.route.cluster: body for row, body, _ in self.rows.values()}
-        routes = forms.RouteConfiguration(CALLS, [forms.VirtualHost("all", ["*"], [
-            row for row, _, _ in self.rows.values()
-        ])])  # fmt: skip
+        clusters = {rows[0].route.cluster: body for rows, body, _ in self.rows.values()}
+        routes = tables.in_order(CALLS, self.routes)
         made = {"eds": [(name, encode(table)) for name, table in self.assignments.items()]}
         return made | {"cds": list(clusters.items()), "rds": [(CALLS, encode(routes))] if self.rows else []}
 
@@ -74,11 +73,15 @@
         elif type_url == forms.ROUTES:
             for host in decode(body, forms.RouteConfiguration).virtual_hosts:
                 rows += host.routes
-    for row in rows:
+    held.routes = rows
+    for row in tables.leading(rows):
         if row.route.cluster not in clusters:
             raise FormError(f"route {row.name!r} names cluster {row.route.cluster!r}, which is not held")
         body, name = clusters[row.route.cluster]
-        held.rows[row.name] = (row, body, name)
+        if row.name in held.rows and held.rows[row.name][0][0].route.cluster == row.route.cluster:
+            held.rows[row.name][0].append(row)
+        else:
+            held.rows[row.name] = ([row], body, name)
     return held
 
 
@@ -88,6 +91,7 @@
         self._prefix = f"{terms.name}.{epoch}"
         self._dial = round(terms.fleet.dial_ms * 10)
         self._rows: dict[object, bytes] = {}  # routes and clusters, by what is in them
+        self._paths = paths(terms)
         self._addresses: Mapping[str, Address] = {}
         self._generation = 0  # of the addresses
 
@@ -102,22 +106,26 @@
         left out.
         """
         assignments, clusters, rows = dict[str, bytes](), dict[str, bytes](), list[bytes]()
-        routes = sorted(enumerate(self._terms.routes), key=lambda row: -len(row[1].path))
-        for k, route in routes:
-            state = view.bound.get(k)
+        kept = set[str]()
+        for k, path in self._paths:
+            if isinstance(path, ClosedTerms):
+                rows.append(self._closed(path))
+                continue
+            route, state = self._terms.routes[k], view.bound.get(k)
             if state is not None:
                 name = f"{self._prefix}.t{state.number}"
                 if name not in assignments:
                     assignments[name] = self._table(name, state, view)
                 to = f"{route.name}@{name}"
-                clusters[to] = self._cluster(to, name)
-                rows.append(self._route(k, to, state, view))
-            elif route.name in held.rows:
-                row, body, name = held.rows[route.name]
+                clusters[to] = self._cluster(to, name, "ring" if route.hash_by else self._terms.fleet.pick)
+                rows.append(self._route(k, path, to, state, view))
+            elif route.name in held.rows and route.name not in kept:
+                kept.add(route.name)  # all it held of this route, where the first of its paths stands
+                mine, body, name = held.rows[route.name]
                 if name not in assignments and name in held.assignments:
                     assignments[name] = self._drained(held.assignments[name], view.withdrawn)
-                clusters[row.route.cluster] = body
-                rows.append(encode(row))
+                clusters[mine[0].route.cluster] = body
+                rows += [encode(row) for row in mine]
         made = {"eds": list(assignments.items())}
         if view.bound:
             made["cds"] = list(clusters.items())
@@ -157,21 +165,31 @@
             return row.body
         return self._drained(table, withdrawn)
 
-    def _cluster(self, name: str, table: str) -> bytes:
+    def _closed(self, path: ClosedTerms) -> bytes:
+        body = self._rows.get(path)
+        if body is None:
+            made = tables.closed(tables.match(path.match, path.path), path.status)
+            body = self._rows[path] = encode(made)
+        return body
+
+    def _cluster(self, name: str, table: str, pick: str) -> bytes:
         body = self._rows.get(name)
         if body is None:
             fleet = self._terms.fleet
-            made = tables.cluster(name, table, "eds.json", fleet.pick, self._dial, fleet.strikes)
+            made = tables.cluster(name, table, "eds.json", pick, self._dial, fleet.strikes)
             body = self._rows[name] = encode(made)
         return body
 
-    def _route(self, k: int, to: str, state: TableState, view: View) -> bytes:
+    def _route(self, k: int, path: PathTerms | RouteTerms, to: str, state: TableState, view: View) -> bytes:
         route, fleet = self._terms.routes[k], self._terms.fleet
         tries, level = state.levels.get(k, (fleet.usual_tries, float("inf")))
         if k in view.levels:
             wide_tries, wide = view.levels[k]
             tries, level = (tries if k in state.levels else wide_tries), min(level, wide)
-        key = (to, tries, level)
+        tries = min(tries, route.tries)
+        if route.most_per_s and fleet.admit == "rps":
+            level = min(level, route.most_per_s)
+        key = (to, path, tries, level)
         body = self._rows.get(key)
         if body is None:
             if len(self._rows) > 5000:  # levels of long ago
@@ -181,7 +199,10 @@
                 round(fleet.try_factor * route.slo_time_ms * 10),
             )
             filters = tables.level(fleet.admit, level, fleet.come_back_s)
-            row = tables.route(route.name, route.path, to, round(route.time_limit_ms * 10), policy, filters)
+            row = tables.route(
+                route.name, tables.match(path.match, path.path), to, round(route.time_limit_ms * 10),
+                policy, filters, path.rewrite, route.hash_by,
+            )  # fmt: skip
             body = self._rows[key] = encode(row)
         return body
 
@@ -198,7 +219,9 @@
         row.uses = ()
         if row.kind == "rds":
             hosts = decode(row.body, forms.RouteConfiguration).virtual_hosts
-            row.uses = tuple(dict.fromkeys(r.route.cluster for host in hosts for r in host.routes))
+            row.uses = tuple(
+                dict.fromkeys(r.route.cluster for host in hosts for r in tables.leading(host.routes))
+            )
         elif row.kind == "cds":
             cluster = decode(row.body, forms.Cluster)
             row.uses = (cluster.eds_cluster_config.service_name or cluster.name,)
--- a/willowhook/trial/standin_link.py
+++ b/willowhook/trial/standin_link.py
@@ -294,7 +294,7 @@
             if len(sets) != 1 or not sets[0].virtual_hosts:
                 raise FormError(f"{len(sets)} sets of routes")
             routes = sets[0].virtual_hosts[0].routes
-        for route in routes:
+        for route in tables.leading(routes):
             to = clusters.get(route.route.cluster)
             if to is None:
                 raise FormError(f"route {route.name!r} names no cluster: {route.route.cluster!r}")
@@ -304,7 +304,7 @@
         proxy.assignments, proxy.clusters, proxy.routes = assignments, clusters, routes
 
     def in_use(self, table: str) -> bool:
-        clusters = [self.proxy.clusters[route.route.cluster] for route in self.proxy.routes]
+        clusters = [self.proxy.clusters[route.route.cluster] for route in tables.leading(self.proxy.routes)]
         return any(cluster.eds_cluster_config.service_name == table for cluster in clusters)
 
     # Reports.
--- a/willowhook/trial/standin_proxy.py
+++ b/willowhook/trial/standin_proxy.py
@@ -21,8 +21,9 @@
 
 import msgspec
 import trio
+import xxhash
 
-from ..config.terms import RouteTerms
+from ..config.terms import PathTerms, RouteTerms
 from ..files.follow import Followers
 from ..files.layout import DOWN, LOAD, STATUS, UP, last_beat
 from ..files.ops import DiskOps
@@ -162,19 +163,23 @@
         self.assignments = {"standing": tables.assignment("standing", lines)}
         rows: list[forms.Route] = []
         self.clusters = {}
-        for route in self.o.routes:
+        paths: list[tuple[RouteTerms, PathTerms | RouteTerms]] = []
+        for row in self.o.routes:
+            paths += [(row, row), *((row, path) for path in row.more)]
+        for route, path in sorted(paths, key=lambda row: (row[1].order, -len(row[1].path))):
             name = f"{route.name}@standing"
             pick, dial_ticks = self.o.pick, round(self.o.dial_s * SECOND)
             self.clusters[name] = tables.cluster(name, "standing", "", pick, dial_ticks, self.o.strikes)
             limit = round(route.time_limit_ms * 10)
-            rows.append(tables.route(route.name, route.path, name, limit, tables.retry(1, 0), {}))
-        self.routes = tables.route_set("calls", rows).virtual_hosts[0].routes
+            how = tables.match(path.match, path.path)
+            rows.append(tables.route(route.name, how, name, limit, tables.retry(1, 0), {}, path.rewrite))
+        self.routes = rows
         self.settle()
 
     def settle(self) -> None:
         """Looks up what calls will need; by route the lines that may be picked."""
         self.lines = {}
-        for route in self.routes:
+        for route in tables.leading(self.routes):
             cluster = self.clusters[route.route.cluster]
             table = self.assignments[cluster.eds_cluster_config.service_name]
             usable = []
@@ -227,7 +232,8 @@
             if "rds" in kinds:
                 sets = tables.read_routes(files["rds.json"])[1]
                 routes = sets[0].virtual_hosts[0].routes
-            for route in routes:
+            for route in tables.leading(routes):
+                tables.fits(route.match, "/")
                 cluster = clusters.get(route.route.cluster)
                 if cluster is None:
                     raise FormError(f"route {route.name!r} names no cluster: {route.route.cluster!r}")
@@ -240,7 +246,7 @@
             self.notes.note("refused", p=self.plan.id, d=place.name, cause=str(fault))
             self.answer_config(kinds, str(fault) or "incomplete")
             return
-        used = {clusters[route.route.cluster].eds_cluster_config.service_name for route in routes}
+        used = {clusters[r.route.cluster].eds_cluster_config.service_name for r in tables.leading(routes)}
         self.assignments = {name: table for name, table in assignments.items() if name in used}
         self.clusters, self.routes = clusters, routes
         self.claim.apply(newest)
@@ -444,11 +450,11 @@
 
     async def answer(self, call: Call) -> Reply | None:
         path = call.target.split(b"?")[0].decode("latin-1")
-        for row in self.routes:
-            prefix = row.match.path_separated_prefix.rstrip("/")
-            if path == prefix or path.startswith(prefix + "/"):
-                return await self.route(row, call)
-        return Reply(404)
+        row = tables.first(self.routes, path)
+        if row is None or row.direct_response is not None:
+            return Reply(row.direct_response.status if row and row.direct_response else 404)
+        call.target = tables.target(row, call.target.decode("latin-1")).encode("latin-1")
+        return await self.route(row, call)
 
     def admitted(self, row: forms.Route) -> bool:
         share, rate = tables.level_of(row.typed_per_filter_config)
@@ -477,11 +483,12 @@
         policy, lb_policy = row.route.retry_policy, self.clusters[cluster].lb_policy
         tries = tables.tries_of(policy)
         patience = seconds(policy.per_try_timeout) if policy and policy.per_try_timeout else math.inf
+        by = hash_key(tables.hash_by(row.route.hash_policy), call)
         tried: list[str] = []
         reply = Reply(503, [(b"retry-after", b"1"), (tables.PROOF.encode(), b"1")], b"no host")
         with trio.move_on_after(seconds(row.route.timeout)) as limit:
             while True:
-                host = self.pick(row, lb_policy, tried)
+                host = self.pick(row, lb_policy, tried, by)
                 if host is None:
                     if not tried:
                         self.notes.note("no_host", p=self.plan.id, c=attempt, r=row.name)
@@ -501,7 +508,7 @@
     def tries_now(self, name: str) -> int:
         return next((tables.tries_of(row.route.retry_policy) for row in self.routes if row.name == name), 0)
 
-    def pick(self, row: forms.Route, lb_policy: str, tried: list[str]) -> str | None:
+    def pick(self, row: forms.Route, lb_policy: str, tried: list[str], by: str = "") -> str | None:
         now = ticks()
         lines = self.lines.get(row.name, [])
         fit = [line for line in lines if line[0] not in tried] or ([] if tried else lines)
@@ -509,6 +516,8 @@
         if not fit:
             return None
         hosts, weights = [line[0] for line in fit], [line[1] for line in fit]
+        if lb_policy == "RING_HASH" and by:
+            return ring_pick(by, fit)
         if lb_policy != "LEAST_REQUEST":
             return self.chance.choices(hosts, weights)[0]
         one, two = self.chance.choices(hosts, weights, k=2)
@@ -578,6 +587,32 @@
         return reply, proof
 
 
+def hash_key(by: str, call: Call) -> str:
+    """What of a call decides its place on a ring; empty without a ring.  Tests tell the address."""
+    kind, _, name = by.partition(":")
+    if kind == "header":
+        usual = call.target if name == ":path" else b""
+        return call.headers.get(name.lower().encode(), usual).decode("latin-1")
+    if kind == "query":
+        query = call.target.decode("latin-1").partition("?")[2]
+        return next((part.partition("=")[2] for part in query.split("&") if part.startswith(name + "=")), "")
+    if kind == "cookie":
+        parts = call.headers.get(b"cookie", b"").decode("latin-1").split(";")
+        return next((p.strip().partition("=")[2] for p in parts if p.strip().startswith(name + "=")), "")
+    return call.headers.get(b"x-source", b"").decode("latin-1") if kind else ""
+
+
+def ring_pick(key: str, lines: list[tuple[str, float]]) -> str:
+    """By weighted rendezvous: each host's share of keys is its weight's, and few keys move."""
+    best, found = -math.inf, lines[0][0]
+    for host, weight in lines:
+        draw = (xxhash.xxh64_intdigest(f"{host} {key}") + 1) / (2**64 + 2)
+        score = weight / -math.log(draw)
+        if score > best:
+            best, found = score, host
+    return found
+
+
 class Crew:
     """All proxies of one process, and the troubles they share."""
 
--- a/willowhook/xds/forms.py
+++ b/willowhook/xds/forms.py
@@ -178,20 +178,59 @@
     retriable_headers: list[HeaderMatcher] = msgspec.field(default_factory=list)
 
 
+class RegexMatcher(Form):
+    regex: str = ""
+
+
 class RouteMatch(Form):
+    """One of the four; `safe_regex` is matched by the whole path."""
+
     path_separated_prefix: str = ""
+    prefix: str = ""
+    path: str = ""
+    safe_regex: RegexMatcher | None = None
+
+
+class HashHeader(Form):
+    header_name: str = ""
+
+
+class HashNamed(Form):
+    name: str = ""
+
+
+class HashConnection(Form):
+    source_ip: bool = False
+
+
+class HashPolicy(Form):
+    """One of the four."""
+
+    header: HashHeader | None = None
+    cookie: HashNamed | None = None
+    connection_properties: HashConnection | None = None
+    query_parameter: HashNamed | None = None
 
 
 class RouteAction(Form):
     cluster: str = ""
     timeout: str = ""
     retry_policy: RetryPolicy | None = None
+    prefix_rewrite: str = ""
+    hash_policy: list[HashPolicy] = msgspec.field(default_factory=list)
+
+
+class DirectResponse(Form):
+    status: int = 0
 
 
 class Route(Form):
+    """It leads to a cluster, or answers by itself."""
+
     name: str = ""
     match: RouteMatch = msgspec.field(default_factory=RouteMatch)
     route: RouteAction = msgspec.field(default_factory=RouteAction)
+    direct_response: DirectResponse | None = None
     typed_per_filter_config: dict[str, HTTPFault | LocalRateLimit] = msgspec.field(default_factory=dict)
 
 
--- a/willowhook/xds/tables.py
+++ b/willowhook/xds/tables.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 from typing import TypeVar
 
 from . import forms
@@ -31,13 +33,20 @@
     return min(max(round(weight * SCALE), 1), MOST // 4096)
 
 
-def assignment(name: str, lines: Iterable[Line]) -> forms.ClusterLoadAssignment:
-    """A table; hosts are grouped by zone in the order in which zones first appear."""
-    zones: dict[str, forms.LocalityLbEndpoints] = {}
+def assignment(
+    name: str, lines: Iterable[Line], later: Mapping[str, int] | None = None
+) -> forms.ClusterLoadAssignment:
+    """A table; hosts are grouped by zone in the order in which zones first appear.
+
+    `later`: hosts of a priority over 0, which serve only when none before them is open.
+    """
+    zones: dict[tuple[str, int], forms.LocalityLbEndpoints] = {}
     for host, address, port, zone, weight, draining in lines:
-        group = zones.get(zone)
+        priority = later.get(host, 0) if later else 0
+        group = zones.get((zone, priority))
         if group is None:
-            group = zones[zone] = forms.LocalityLbEndpoints(forms.Locality(zone=zone))
+            made = forms.LocalityLbEndpoints(forms.Locality(zone=zone), priority=priority)
+            group = zones[zone, priority] = made
         at = forms.Address(forms.SocketAddress(address, port))
         health = forms.DRAINING if draining else forms.HEALTHY
         group.lb_endpoints.append(forms.LbEndpoint(forms.Endpoint(at, host), health, whole(weight)))
@@ -60,6 +69,17 @@
     return found
 
 
+def priorities(table: forms.ClusterLoadAssignment) -> dict[str, int]:
+    """By host, in the order of `lines`."""
+    found = {}
+    for group in table.endpoints:
+        for row in group.lb_endpoints:
+            at = row.endpoint.address.socket_address
+            usual = f"{at.address}:{at.port_value}" if at is not None else ""
+            found[row.endpoint.hostname or usual] = group.priority
+    return found
+
+
 def cluster(name: str, table: str, path: str, pick: str, dial_ticks: int, strikes: int) -> forms.Cluster:
     """One route's cluster: several may name one table, which is what makes it shared."""
     made = forms.Cluster(name, "EDS", connect_timeout=duration(dial_ticks))
@@ -68,6 +88,8 @@
         made.lb_policy, made.least_request_lb_config = "LEAST_REQUEST", forms.LeastRequest(2)
     elif pick == "lottery":
         made.lb_policy = "RANDOM"
+    elif pick == "ring":
+        made.lb_policy = "RING_HASH"
     if strikes:
         made.outlier_detection = forms.OutlierDetection(strikes)
     return made
@@ -131,18 +153,111 @@
     return share, rate
 
 
+def match(kind: str, path: str) -> forms.RouteMatch:
+    """`kind`: below, exact, prefix or regex."""
+    if kind == "regex":
+        return forms.RouteMatch(safe_regex=forms.RegexMatcher(path))
+    if kind == "exact":
+        return forms.RouteMatch(path=path)
+    return forms.RouteMatch(prefix=path) if kind == "prefix" else forms.RouteMatch(path)
+
+
+def match_of(made: forms.RouteMatch) -> tuple[str, str]:
+    """Kind and path, as `match` was given them."""
+    if made.safe_regex is not None:
+        return "regex", made.safe_regex.regex
+    if made.path:
+        return "exact", made.path
+    return ("prefix", made.prefix) if made.prefix else ("below", made.path_separated_prefix)
+
+
+@lru_cache(4096)
+def _regex(text: str) -> re.Pattern[str]:
+    try:
+        return re.compile(text)
+    except re.error as fault:
+        raise FormError(f"safe_regex {text[:80]!r}: {fault}") from fault
+
+
+def fits(made: forms.RouteMatch, path: str) -> bool:
+    """Whether a path, without its arguments, is matched; raises FormError for what is no expression."""
+    kind, told = match_of(made)
+    if kind == "regex":
+        return _regex(told).fullmatch(path) is not None
+    if kind == "exact":
+        return path == told
+    if kind == "prefix":
+        return path.startswith(told)
+    told = told.rstrip("/")
+    return path == told or path.startswith(told + "/")
+
+
+def first(rows: Iterable[forms.Route], path: str) -> forms.Route | None:
+    return next((row for row in rows if fits(row.match, path)), None)
+
+
+def target(row: forms.Route, asked: str) -> str:
+    """What a host is asked for: `asked`, its prefix rewritten where the route says so."""
+    kind, told = match_of(row.match)
+    if not row.route.prefix_rewrite or kind not in ("prefix", "below", "exact"):
+        return asked
+    return row.route.prefix_rewrite + asked[len(told.rstrip("/") if kind == "below" else told) :]
+
+
+def hash_policy(by: str) -> list[forms.HashPolicy]:
+    """`by`: empty, source_ip, or header:, cookie: or query: with a name."""
+    kind, _, name = by.partition(":")
+    if kind == "header":
+        return [forms.HashPolicy(header=forms.HashHeader(name))]
+    if kind == "cookie":
+        return [forms.HashPolicy(cookie=forms.HashNamed(name))]
+    if kind == "query":
+        return [forms.HashPolicy(query_parameter=forms.HashNamed(name))]
+    return [forms.HashPolicy(connection_properties=forms.HashConnection(True))] if by else []
+
+
+def hash_by(rows: list[forms.HashPolicy]) -> str:
+    """What `hash_policy` was given; the first that is known."""
+    for row in rows:
+        if row.header is not None:
+            return f"header:{row.header.header_name}"
+        if row.cookie is not None:
+            return f"cookie:{row.cookie.name}"
+        if row.query_parameter is not None:
+            return f"query:{row.query_parameter.name}"
+        if row.connection_properties is not None and row.connection_properties.source_ip:
+            return "source_ip"
+    return ""
+
+
 def route(
-    name: str, path: str, to: str, limit_ticks: int, policy: forms.RetryPolicy,
-    filters: dict[str, forms.HTTPFault | forms.LocalRateLimit],
+    name: str, path: str | forms.RouteMatch, to: str, limit_ticks: int, policy: forms.RetryPolicy,
+    filters: dict[str, forms.HTTPFault | forms.LocalRateLimit], rewrite: str = "", by: str = "",
 ) -> forms.Route:  # fmt: skip
-    action = forms.RouteAction(to, duration(limit_ticks), policy)
-    return forms.Route(name, forms.RouteMatch(path), action, filters)
+    """`path`: a text is matched by itself and all below it; `by`: see `hash_policy`."""
+    action = forms.RouteAction(to, duration(limit_ticks), policy, rewrite, hash_policy(by))
+    how = forms.RouteMatch(path) if isinstance(path, str) else path
+    return forms.Route(name, how, action, typed_per_filter_config=filters)
+
+
+def closed(made: forms.RouteMatch, status: int) -> forms.Route:
+    """Calls that no host gets."""
+    return forms.Route("closed", made, direct_response=forms.DirectResponse(status))
 
 
 def route_set(name: str, rows: list[forms.Route]) -> forms.RouteConfiguration:
     """All routes of a proxy; the longest path first, as the first match wins."""
-    ordered = sorted(rows, key=lambda row: -len(row.match.path_separated_prefix))
-    return forms.RouteConfiguration(name, [forms.VirtualHost("all", ["*"], ordered)])
+    ordered = sorted(rows, key=lambda row: -len(match_of(row.match)[1]))
+    return in_order(name, ordered)
+
+
+def in_order(name: str, rows: list[forms.Route]) -> forms.RouteConfiguration:
+    return forms.RouteConfiguration(name, [forms.VirtualHost("all", ["*"], rows)])
+
+
+def leading(rows: Iterable[forms.Route]) -> list[forms.Route]:
+    """Those that lead to hosts."""
+    return [row for row in rows if row.direct_response is None]
 
 
 T = TypeVar("T")
