The test of split tables waits until what was sent before is answered

It failed about once in six runs of the file side by side: the list was news before the proxy's answer was read, so a message was in flight, and the guard rightly refused what it splits otherwise.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -452,7 +452,8 @@
         one = ByHand(service, "p1")
         one.join()
         await until(lambda: one.hosts() == {"a", "b", "c"})
-        one.answer()
+        one.answer()  # taken before the list is news: what is in flight counts with the guard, and refuses
+        await until(lambda: service.intake.present["p1"].applied == service.book.count)
         roster.hosts["new"], roster.started["new"], roster.index = False, time.time() - 6.0, 2
         await until(lambda: "new" in one.hosts())
         first = one.weights()
