Tiers: hosts that serve only when none before them is open and answers

A module of its own without I/O or clock; the list says a host's tier, what is held is shown to the decisions as draining, so rules.py and the guard are as they were.

--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -10,6 +10,7 @@
 import os
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -23,6 +24,7 @@
 from ..files.swap import Shelf
 from ..files.watch import Watch, open_watch
 from ..membership.handoff import Hint, Listener, Packet, Teller
+from ..membership.tiers import Tiers
 from ..records.writer import Records
 from ..roster.forms import Host
 from ..rules import Director
@@ -117,6 +119,9 @@
         self._decided_at = 0
         self._names: dict[int, str] = {}
         self._hosts: dict[str, Host] = {}
+        self._list: list[Host] = []
+        self.tiers = Tiers(self, ticks(terms.rules.cold_ms))
+        self._reshow = False  # a tier was let in or held: the list must be shown again
         self._by_address: dict[str, str] = {}
         self._joins = 0
         self._route_at = {route.name: k for k, route in enumerate(terms.routes)}
@@ -268,6 +273,10 @@
             now = self._decided_at = self.clock.now()
             for event in events:
                 event(now)
+            if now - last_look >= SECOND // 10:
+                self.tiers.look(now)
+            if self._reshow:
+                self._show(now)
             while self._timers and self._timers[0][0] <= now:
                 self.director.timer_due(now, heapq.heappop(self._timers)[2])
             self.director.moment_over(now)
@@ -358,12 +367,30 @@
         await self._send.send(lambda now: self.director.list_lost(now))
 
     def _listed(self, now: int, hosts: list[Host]) -> None:
-        self._hosts = {host.id: host for host in hosts}
         self._by_address.update({f"{host.address}:{host.port}": host.id for host in hosts})
         self.renderer.readdress({**self._known, **{h.id: (h.address, h.port, h.zone) for h in hosts}})
         self._known.update({host.id: (host.address, host.port, host.zone) for host in hosts})
         rows = [[h.id, "draining" if h.draining else "open", h.started] for h in hosts]
         self.records.note(now, "list", hosts=rows)
+        if self.memory is not None:
+            self.memory.listed({host.id: [host.draining, host.started] for host in hosts})
+        self._list = hosts
+        start = self.clock.start_of
+        self.tiers.listed(now, [(h.id, h.kind, h.tier, h.draining, start(h)) for h in hosts])
+        self._show(now)
+        if self.memory is not None:
+            self._recall(now, hosts)
+
+    def let_in(self, host: str, on: bool, cause: str) -> None:
+        self._reshow = True
+        self.records.note(self.clock.now(), "tier", host=host, on=on, cause=cause)
+        self.log.info("a later tier is let in" if on else "a later tier is held", host=host, cause=cause)
+
+    def _show(self, now: int) -> None:
+        """The list to the guard and the module; what is held drains."""
+        self._reshow = False
+        hosts = [replace(host, draining=True) if self.tiers.held(host.id) else host for host in self._list]
+        self._hosts = {host.id: host for host in hosts}
         self.publisher.tell_guard(self.watchman.listed, now, hosts, self.clock.start_of)
         self.director.list_began(now, True)
         for host in hosts:
@@ -371,9 +398,6 @@
             started = self.clock.start_of(host)
             self.director.host_listed(now, host.id, mode, started, host.cell, host.size, host.kind, host.zone)
         self.director.list_ended(now)
-        if self.memory is not None:
-            self.memory.listed({host.id: [host.draining, host.started] for host in hosts})
-            self._recall(now, hosts)
 
     def _recall(self, now: int, hosts: list[Host]) -> None:
         """Once, with the first list: what this director met with these hosts in its life before."""
@@ -523,6 +547,7 @@
         if host is not None:
             zone = self.book.members[proxy].zone
             self.publisher.rollout.met(self.clock.now(), proxy, tries, errors)
+            self.tiers.heard(self.clock.now(), host, tries, errors)
             if self.memory is not None:
                 self.memory.met(self.clock.now(), host, zone, tries, errors, mean)
             if self._posts:
--- /dev/null
+++ b/willowhook/membership/tiers.py
@@ -0,0 +1,136 @@
+"""Hosts that serve only when none before them does: which tiers of a group are let in now.
+
+A group is the hosts of one kind.  Tier 0 is always let in.  A later tier is let in when no host of the tiers
+before it is open and answers, and is held again when one of them is, warm, for a while: a lone cold host must
+not get at once what a whole tier served.  What is held is shown to the decisions as draining, so that nothing
+is sent there after the grace.
+
+No I/O and no clock.  Times are tenths of a millisecond.  Source: the published priorities of locality
+endpoints, of which one acts when those before it have no healthy host.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..state import Ring
+
+BUCKET, BUCKETS = 5_000, 6  # three seconds of what calls met
+LEAST_TRIES = 8  # none of so many answered: it does not answer
+HOLD = 5 * 10_000  # a later tier stays for so long after one before it is back
+
+
+class TierHost(Protocol):
+    """Who is told."""
+
+    def let_in(self, host: str, on: bool, cause: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Row:
+    group: str
+    tier: int
+    draining: bool
+    started: int  # 0: warm
+    met: Ring = field(default_factory=lambda: Ring(BUCKET, BUCKETS, 2))
+    silent: bool = False  # it does not answer, and has not answered since
+
+
+@dataclass(slots=True)
+class Group:
+    hosts: list[str] = field(default_factory=list)
+    last: int = 0  # the last tier that is let in
+    tiers: tuple[int, ...] = ()
+    back: int = -1  # since when an earlier tier would do; -1: none does
+
+
+class Tiers:
+    """`cold`: how long a host that starts is cold."""
+
+    def __init__(self, host: TierHost, cold: int) -> None:
+        self._host, self._cold = host, cold
+        self._rows: dict[str, Row] = {}
+        self._groups: dict[str, Group] = {}
+        self._in: dict[str, bool] = {}  # of hosts of later tiers
+
+    def held(self, host: str) -> bool:
+        """Whether it must not be used now, though it is listed."""
+        return not self._in.get(host, True)
+
+    def listed(self, now: int, rows: Iterable[tuple[str, str, int, bool, int]]) -> None:
+        """The whole list: host, group, tier, whether it drains, start."""
+        old, self._rows = self._rows, {}
+        last = {name: group.last for name, group in self._groups.items()}
+        back = {name: group.back for name, group in self._groups.items()}
+        self._groups = {}
+        for name, group, tier, draining, started in rows:
+            before = old.get(name)
+            row = Row(group, tier, draining, started)
+            if before is not None and before.started == started:  # a host that starts anew is another
+                row.met, row.silent = before.met, before.silent
+            self._rows[name] = row
+            self._groups.setdefault(group, Group(last=last.get(group, 0))).hosts.append(name)
+        for name, made in self._groups.items():
+            made.tiers = tuple(sorted({self._rows[host].tier for host in made.hosts}))
+            made.back = back.get(name, -1)
+            if made.last not in made.tiers:
+                made.last, made.back = made.tiers[0], -1
+        self._in = {host: on for host, on in self._in.items() if host in self._rows}
+        self.look(now)
+
+    def heard(self, now: int, host: str, tries: int, errors: int) -> None:
+        row = self._rows.get(host)
+        if row is None or len(self._groups[row.group].tiers) < 2:
+            return
+        row.met.add(now, tries, errors)
+        if errors < tries:
+            if row.silent:
+                row.met = Ring(BUCKET, BUCKETS, 2)
+            row.silent = False
+            return
+        met, failed = row.met.total(now, BUCKETS)
+        row.silent = row.silent or (met >= LEAST_TRIES and failed >= met)
+
+    def look(self, now: int) -> None:
+        """Lets in and holds what the time has come for."""
+        for group in self._groups.values():
+            if len(group.tiers) > 1 or any(host in self._in for host in group.hosts):
+                self._look(now, group)
+
+    def _look(self, now: int, group: Group) -> None:
+        wanted = next((tier for tier in group.tiers if self._serves(group, tier)), group.last)
+        cause = "no host before it is open and answers"
+        if wanted > group.last:
+            group.last, group.back = wanted, -1
+        elif wanted < group.last and any(self._warm(now, group, t) for t in group.tiers if t < group.last):
+            if group.back < 0:
+                group.back = now
+            if now - group.back >= HOLD:
+                group.last, group.back = wanted, -1
+                cause = f"a warm host of tier {wanted} has been back for {HOLD / 10_000:.0f} s"
+        else:
+            group.back = -1
+        for host in group.hosts:
+            tier = self._rows[host].tier
+            on = tier <= group.last
+            if tier == group.tiers[0] and host not in self._in:
+                continue  # never held
+            if self._in.get(host) is not on:
+                self._in[host] = on
+                self._host.let_in(host, on, cause if on or group.last else f"tier {group.last} serves")
+
+    def _serves(self, group: Group, tier: int) -> bool:
+        return any(self._of(host, tier) for host in group.hosts)
+
+    def _warm(self, now: int, group: Group, tier: int) -> bool:
+        return any(
+            self._of(host, tier) and now - self._rows[host].started >= self._cold
+            for host in group.hosts
+        )  # fmt: skip
+
+    def _of(self, host: str, tier: int) -> bool:
+        """Open, of this tier, and not known to be silent."""
+        row = self._rows[host]
+        return row.tier == tier and not row.draining and not row.silent
--- a/willowhook/roster/forms.py
+++ b/willowhook/roster/forms.py
@@ -2,7 +2,8 @@
 
 A host in maintenance (`_service_maintenance:ID`) drains.  A host whose other checks are critical is listed
 as it is: whether it answers is judged from calls, never from the roster.  `Meta` is the form's own free map;
-`started` (seconds of the Unix clock), `kind` and `cell` are read there, and are optional.
+`started` (seconds of the Unix clock), `kind`, `cell` and `tier` (0: serves always) are read there, and are
+optional.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import msgspec
 
 MAINTENANCE = "_service_maintenance:"
+TIERS = frozenset("0123456789")
 
 
 class RosterError(Exception):
@@ -62,6 +64,7 @@
     kind: str
     cell: str
     zone: str
+    tier: int = 0  # a later one serves when no host of its kind before it does
 
 
 _entries = msgspec.json.Decoder(list[Entry])
@@ -91,13 +94,17 @@
             raise RosterError(f"{where}.Meta.started of {service.ID} is no number") from fault
         if not 0 <= started < 1e12:
             raise RosterError(f"{where}.Meta.started of {service.ID} is {started}")
+        tier = service.Meta.get("tier", "0")
+        if tier not in TIERS:
+            raise RosterError(f"{where}.Meta.tier of {service.ID} is {tier[:20]!r}, no figure from 0 to 9")
         drains = any(
             check.CheckID.startswith(MAINTENANCE) and check.Status == "critical" for check in entry.Checks
         )
         zone = entry.Node.Meta.get("zone") or entry.Node.Datacenter
         size = float(service.Weights.Passing) if service.Weights else 1.0
         kind, cell = service.Meta.get("kind", ""), service.Meta.get("cell", "")
-        hosts[service.ID] = Host(service.ID, address, service.Port, drains, started, size, kind, cell, zone)
+        told = (drains, started, size, kind, cell, zone, int(tier))
+        hosts[service.ID] = Host(service.ID, address, service.Port, *told)
     return list(hosts.values())
 
 
