Tiers by the hosts that a route may use, so one host can stand in several

A host that two upstreams share has one line in the list; what is a group is now what a route's kinds make it, and a host is let in if one of its groups wants it. Found by the test: a start of 0 is warm, however young the clock.

--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -24,7 +24,7 @@
 def made(*rows: tuple[str, int, bool, int], now: int = 100 * SECOND) -> tuple[Tiers, Told]:
     told = Told()
     tiers = Tiers(told, COLD)
-    tiers.listed(now, [(name, "g", tier, drains, started) for name, tier, drains, started in rows])
+    tiers.listed(now, [(name, ("g",), tier, drains, started) for name, tier, drains, started in rows])
     return tiers, told
 
 
@@ -32,10 +32,10 @@
     now = 100 * SECOND
     tiers, told = made(("a", 0, False, 0), ("b", 1, False, 0))
     assert tiers.held("b") and not tiers.held("a") and told.rows == [("b", False)]
-    tiers.listed(now, [("a", "g", 0, True, 0), ("b", "g", 1, False, 0)])
+    tiers.listed(now, [("a", ("g",), 0, True, 0), ("b", ("g",), 1, False, 0)])
     assert not tiers.held("b") and told.rows[-1] == ("b", True)
     started = now + SECOND
-    rows = [("a", "g", 0, False, started), ("b", "g", 1, False, 0)]
+    rows = [("a", ("g",), 0, False, started), ("b", ("g",), 1, False, 0)]
     tiers.listed(started, rows)
     tiers.look(started + COLD - 1)
     assert not tiers.held("b")  # the primary is cold: what served stays
@@ -64,6 +64,16 @@
     assert tiers.held("b") and tiers.held("c")
 
 
+def test_a_host_of_two_groups_is_let_in_where_one_of_them_wants_it() -> None:
+    tiers = Tiers(told := Told(), COLD)
+    rows = [("a", ("g",), 0, False, 0), ("b", ("g", "h"), 1, False, 0), ("c", ("h",), 0, True, 0)]
+    tiers.listed(SECOND, rows)
+    assert not tiers.held("b")
+    tiers.listed(SECOND, [*rows[:2], ("c", ("h",), 0, False, 0)])
+    tiers.look(SECOND + HOLD)
+    assert tiers.held("b") and told.rows == [("b", False)]
+
+
 def test_groups_of_one_tier_are_left_alone_and_backups_alone_serve() -> None:
     tiers, told = made(("a", 0, False, 0), ("b", 0, True, 0))
     assert told.rows == [] and not tiers.held("a") and not tiers.held("never seen")
@@ -98,7 +108,7 @@
         self.show()
 
     def show(self) -> None:
-        self.tiers.listed(self.now, [(n, "g", t, d, s) for n, (t, d, s) in self.hosts.items()])
+        self.tiers.listed(self.now, [(n, ("g",), t, d, s) for n, (t, d, s) in self.hosts.items()])
 
     @rule(name=st.sampled_from("abcdef"), good=st.booleans())
     def calls(self, name: str, good: bool) -> None:
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -120,6 +120,7 @@
         self._names: dict[int, str] = {}
         self._hosts: dict[str, Host] = {}
         self._list: list[Host] = []
+        self._pools_of: dict[str, tuple[str, ...]] = {}  # by kind
         self.tiers = Tiers(self, ticks(terms.rules.cold_ms))
         self._reshow = False  # a tier was let in or held: the list must be shown again
         self._by_address: dict[str, str] = {}
@@ -376,11 +377,17 @@
             self.memory.listed({host.id: [host.draining, host.started] for host in hosts})
         self._list = hosts
         start = self.clock.start_of
-        self.tiers.listed(now, [(h.id, h.kind, h.tier, h.draining, start(h)) for h in hosts])
+        self.tiers.listed(now, [(h.id, self._pools(h.kind), h.tier, h.draining, start(h)) for h in hosts])
         self._show(now)
         if self.memory is not None:
             self._recall(now, hosts)
 
+    def _pools(self, kind: str) -> tuple[str, ...]:
+        """The sets of hosts, one of routes that may use the same kinds each, in which this kind is."""
+        return self._pools_of.setdefault(kind, tuple(dict.fromkeys(
+            " ".join(route.kinds) for route in self.facts.routes if not route.kinds or kind in route.kinds
+        )))  # fmt: skip
+
     def let_in(self, host: str, on: bool, cause: str) -> None:
         self._reshow = True
         self.records.note(self.clock.now(), "tier", host=host, on=on, cause=cause)
--- a/willowhook/membership/tiers.py
+++ b/willowhook/membership/tiers.py
@@ -1,6 +1,7 @@
 """Hosts that serve only when none before them does: which tiers of a group are let in now.
 
-A group is the hosts of one kind.  Tier 0 is always let in.  A later tier is let in when no host of the tiers
+A group is the hosts that one route may use; a host may be in several, with one tier, and is let in if one of
+them wants it.  The first tier is always let in.  A later tier is let in when no host of the tiers
 before it is open and answers, and is held again when one of them is, warm, for a while: a lone cold host must
 not get at once what a whole tier served.  What is held is shown to the decisions as draining, so that nothing
 is sent there after the grace.
@@ -30,7 +31,7 @@
 
 @dataclass(slots=True)
 class Row:
-    group: str
+    groups: tuple[str, ...]
     tier: int
     draining: bool
     started: int  # 0: warm
@@ -53,25 +54,26 @@
         self._host, self._cold = host, cold
         self._rows: dict[str, Row] = {}
         self._groups: dict[str, Group] = {}
-        self._in: dict[str, bool] = {}  # of hosts of later tiers
+        self._in: dict[str, bool] = {}  # of hosts that were ever of a later tier
 
     def held(self, host: str) -> bool:
         """Whether it must not be used now, though it is listed."""
         return not self._in.get(host, True)
 
-    def listed(self, now: int, rows: Iterable[tuple[str, str, int, bool, int]]) -> None:
-        """The whole list: host, group, tier, whether it drains, start."""
+    def listed(self, now: int, rows: Iterable[tuple[str, tuple[str, ...], int, bool, int]]) -> None:
+        """The whole list: host, groups, tier, whether it drains, start."""
         old, self._rows = self._rows, {}
         last = {name: group.last for name, group in self._groups.items()}
         back = {name: group.back for name, group in self._groups.items()}
         self._groups = {}
-        for name, group, tier, draining, started in rows:
+        for name, groups, tier, draining, started in rows:
             before = old.get(name)
-            row = Row(group, tier, draining, started)
+            row = Row(groups, tier, draining, started)
             if before is not None and before.started == started:  # a host that starts anew is another
                 row.met, row.silent = before.met, before.silent
             self._rows[name] = row
-            self._groups.setdefault(group, Group(last=last.get(group, 0))).hosts.append(name)
+            for group in groups:
+                self._groups.setdefault(group, Group(last=last.get(group, 0))).hosts.append(name)
         for name, made in self._groups.items():
             made.tiers = tuple(sorted({self._rows[host].tier for host in made.hosts}))
             made.back = back.get(name, -1)
@@ -82,7 +84,7 @@
 
     def heard(self, now: int, host: str, tries: int, errors: int) -> None:
         row = self._rows.get(host)
-        if row is None or len(self._groups[row.group].tiers) < 2:
+        if row is None or all(len(self._groups[group].tiers) < 2 for group in row.groups):
             return
         row.met.add(now, tries, errors)
         if errors < tries:
@@ -95,13 +97,21 @@
 
     def look(self, now: int) -> None:
         """Lets in and holds what the time has come for."""
+        concerned = dict[str, str]()
         for group in self._groups.values():
             if len(group.tiers) > 1 or any(host in self._in for host in group.hosts):
-                self._look(now, group)
+                cause = self._look(now, group)
+                concerned.update((host, cause) for host in group.hosts)
+        for host, cause in concerned.items():
+            row = self._rows[host]
+            on = any(row.tier <= self._groups[group].last for group in row.groups)
+            if (host in self._in or not on) and self._in.get(host) is not on:
+                self._in[host] = on
+                self._host.let_in(host, on, cause)
 
-    def _look(self, now: int, group: Group) -> None:
+    def _look(self, now: int, group: Group) -> str:
+        """Brings the group's last tier up to now, and says why it is that."""
         wanted = next((tier for tier in group.tiers if self._serves(group, tier)), group.last)
-        cause = "no host before it is open and answers"
         if wanted > group.last:
             group.last, group.back = wanted, -1
         elif wanted < group.last and any(self._warm(now, group, t) for t in group.tiers if t < group.last):
@@ -109,26 +119,16 @@
                 group.back = now
             if now - group.back >= HOLD:
                 group.last, group.back = wanted, -1
-                cause = f"a warm host of tier {wanted} has been back for {HOLD / 10_000:.0f} s"
         else:
             group.back = -1
-        for host in group.hosts:
-            tier = self._rows[host].tier
-            on = tier <= group.last
-            if tier == group.tiers[0] and host not in self._in:
-                continue  # never held
-            if self._in.get(host) is not on:
-                self._in[host] = on
-                self._host.let_in(host, on, cause if on or group.last else f"tier {group.last} serves")
+        return f"tier {group.last} of {len(group.tiers)} is the last that must serve"
 
     def _serves(self, group: Group, tier: int) -> bool:
         return any(self._of(host, tier) for host in group.hosts)
 
     def _warm(self, now: int, group: Group, tier: int) -> bool:
-        return any(
-            self._of(host, tier) and now - self._rows[host].started >= self._cold
-            for host in group.hosts
-        )  # fmt: skip
+        rows = [self._rows[host] for host in group.hosts if self._of(host, tier)]
+        return any(not row.started or now - row.started >= self._cold for row in rows)
 
     def _of(self, host: str, tier: int) -> bool:
         """Open, of this tier, and not known to be silent."""
