--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import json
-import random
 import re
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
-from click.testing import CliRunner
+from click.testing import CliRunner, Result
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from willowhook.cli.main import main
+from willowhook.config.check import read_terms
+from willowhook.files.swap import read_group
+from willowhook.nginx.after import left_after
 from willowhook.nginx.locations import Location, Matcher, read_all
 from willowhook.nginx.syntax import Directive, Loader, SyntaxFault, parse, text_of
 from willowhook.nginx.upstreams import Retry, Upstream, passed_to, retry_of, upstream_of
-from willowhook.nginx.verdicts import CARRIED, DIFFERS, LEFT, REFUSED, verdicts
+from willowhook.nginx.verdicts import CARRIED, DIFFERS, LEFT, REFUSED
+from willowhook.roster.forms import read_hosts
+from willowhook.trial import nginx_check
+from willowhook.trial.corpus import Sample, samples, wrong
+from willowhook.xds import tables
 
 GOOD = """
 # a comment; with { marks }
@@ -105,31 +112,6 @@
     return Matcher(rows), rows
 
 
-def brute(rows: list[Location], uri: str) -> tuple[Location | None, bool]:
-    """The rules, read one by one, over all locations; and whether the search is over."""
-    for row in rows:
-        if row.kind == "=" and row.pattern == uri:
-            return row, True
-    chosen: Location | None = None
-    for row in rows:
-        longer = chosen is None or len(row.pattern) > len(chosen.pattern)
-        if row.kind in ("", "^~") and uri.startswith(row.pattern) and longer:
-            chosen = row
-    remembered = chosen
-    if chosen is not None:
-        deeper, over = brute(chosen.inner, uri)
-        if over:
-            return deeper, True
-        remembered = deeper or chosen
-    if chosen is None or chosen.kind != "^~":
-        for row in rows:
-            if row.kind in ("~", "~*"):
-                flags = re.IGNORECASE if row.kind == "~*" else 0
-                if re.search(row.pattern, uri, flags):
-                    return brute(row.inner, uri)[0] or row, True
-    return remembered, False
-
-
 def test_the_published_example() -> None:
     found, _ = matcher(
         "location = / { A; } location / { B; } location /documents/ { C; } location ^~ /images/ { D; }"
@@ -144,37 +126,13 @@
     assert named is not None and found.find("nothing") is None
 
 
-PIECES = ["/", "a", "b", "ab", "/a", "/ab/", ".x", ".X", "1"]
-
-
-def block(chance: random.Random, within: str, depth: int) -> str:
-    rows, seen = [], set[tuple[str, str]]()
-    for _ in range(chance.randint(1, 5)):
-        kind = chance.choice(["=", "^~", "", "", "~", "~*"])
-        if kind in ("~", "~*"):
-            pattern = chance.choice([r"\.x$", "a+b", "/ab", "[b1]", "^/a", "x"])
-        else:
-            pattern = within + "".join(chance.choice(PIECES) for _ in range(chance.randint(0, 3)))
-        key = ("p" if kind in ("", "^~") else kind, pattern)
-        if key in seen or not pattern:
-            continue
-        seen.add(key)
-        inner = ""
-        if depth and kind != "=" and chance.random() < 0.4:
-            inner = block(chance, pattern if kind in ("", "^~") else "", depth - 1)
-        rows.append(f"location {kind} {pattern} {{ {inner} }}")
-    return " ".join(rows)
+def test_the_matcher_beside_a_brute_force_reading() -> None:
+    assert nginx_check.match(20_000) == (20_000, [])
 
 
-def test_the_matcher_beside_a_brute_force_reading() -> None:
-    chance, count = random.Random(5), 0
-    for _ in range(400):
-        found, rows = matcher(block(chance, "/", 2))
-        for _ in range(50):
-            uri = "/" + "".join(chance.choice(PIECES) for _ in range(chance.randint(0, 5)))
-            assert found.find(uri) is brute(rows, uri)[0], uri
-            count += 1
-    assert count == 20_000
+def test_a_list_that_says_other_than_the_search_is_told_of() -> None:
+    made = nginx_check.lists(10_000)
+    assert made.asked == 10_000 and made.differ > 0 and not made.untold
 
 
 @pytest.mark.parametrize(
@@ -266,7 +224,7 @@
     text = told("/submit-task/9?x=1", "--method", "POST")
     assert "as /v2/submit/9?x=1" in text and "at most 1 tries; one more after nothing" in text
     assert "at most 2 tries" in told("/submit-task/9")
-    assert "passes nothing on" in told("/ping")
+    assert "answers 204" in told("/ping")
     assert "no location fits" in told("/x", "--host", "y.example")
     assert "upstream 10.0.0.9:81" in told("/only", "--host", "y.example")
     assert "location / " in told("/q", "--host", "z.example")  # by *.example
@@ -275,64 +233,143 @@
     assert done.exit_code == 2 and "nginx.conf:4:" in done.output
 
 
-SAMPLES: list[tuple[str, list[str]]] = [
-    ("location /a/ { proxy_pass http://t; }", [CARRIED, CARRIED]),
-    ("location /a { proxy_pass http://t/b; }", [DIFFERS, DIFFERS]),
-    ("location = /a { proxy_pass https://t; }", [DIFFERS, DIFFERS]),
-    ("location ~ x { proxy_pass http://$up; }", [LEFT, LEFT]),
-    ("location @n { internal; }", [LEFT, LEFT]),
-    ("location ~ ( { }", [REFUSED]),
-    ("upstream t { server a; server b weight=2; }", [CARRIED, CARRIED, CARRIED]),
-    (
-        "upstream t { server a max_conns=3; server b backup; server c down; }",
-        [CARRIED, DIFFERS, DIFFERS, CARRIED],
-    ),
-    ("upstream t { server a slow_start=9s; zone z 1m; keepalive 3; }", [CARRIED, DIFFERS, LEFT, LEFT]),
-    ("upstream t { hash $k consistent; server a; }", [CARRIED, DIFFERS, CARRIED]),
-    ("upstream t { random; server a; }", [CARRIED, CARRIED, CARRIED]),
-    ("upstream t { }", [REFUSED]),
-    ("upstream t { server a weight=-1; }", [REFUSED, REFUSED]),
-    ("location /submit-task { proxy_next_upstream error non_idempotent; }", [DIFFERS, REFUSED]),
-    ("location /submit { proxy_next_upstream error non_idempotent; }", [DIFFERS, REFUSED]),
-    ("location / { proxy_next_upstream timeout; }", [CARRIED, DIFFERS]),
-    ("location /submit-task/ { proxy_next_upstream off; }", [CARRIED, CARRIED]),
-    ("location /load { proxy_next_upstream error non_idempotent; }", [DIFFERS, DIFFERS]),
-    ("proxy_next_upstream http_500 non_idempotent;", [REFUSED]),
-    ("limit_req zone=a; limit_conn b 3; proxy_read_timeout 3s;", [DIFFERS, LEFT, DIFFERS]),
-    ("events { worker_connections 3; } unheard_of x;", [LEFT, LEFT, LEFT]),
-    ("gzip on; ssl_certificate a; proxy_set_header a b; map $a $b { default c; }", [LEFT] * 5),
-]
-
-
-@pytest.mark.parametrize(("text", "wanted"), SAMPLES)
-def test_each_directive_has_its_verdict(text: str, wanted: list[str]) -> None:
-    found = verdicts(parse(text), ("/submit-task",))
-    assert [row.what for row in found] == wanted, [row.line() for row in found]
-    assert all(row.why for row in found if row.what != CARRIED)
-
-
-def test_every_directive_is_in_the_report_once(tmp_path: Path) -> None:
-    text = CONF + "".join(sample for sample, wanted in SAMPLES if REFUSED not in wanted)
-    count = len(re.findall(r"[;{]", text))  # each ends with one of the two
-    path = tmp_path / "nginx.conf"
-    path.write_text(text)
-    done = CliRunner().invoke(main, ["import", "nginx", str(path), "--json"])
-    rows = [json.loads(line) for line in done.output.splitlines()]
-    assert len(rows) == count == len({row["place"] for row in rows}) and done.exit_code == 0
-    assert CliRunner().invoke(main, ["import", "nginx", str(path), "--mutating", "/load"]).exit_code == 1
+@pytest.mark.parametrize("sample", samples(), ids=lambda sample: sample.name)
+def test_each_directive_has_its_verdict(sample: Sample) -> None:
+    assert wrong(sample) == []
+
+
+def test_the_corpus_is_whole_and_a_wrong_mark_is_seen() -> None:
+    rows = samples()
+    assert len(rows) >= 120 and len({row.name for row in rows}) == len(rows)
+    assert {mark for row in rows for mark in row.wanted} == {CARRIED, DIFFERS, LEFT, REFUSED}
+    one = rows[0]
+    assert wrong(replace(one, wanted=(REFUSED, *one.wanted[1:]))) and wrong(
+        replace(one, wanted=one.wanted[1:])
+    )
+
+
+def test_mutated_samples_are_read_with_a_verdict_each_or_told() -> None:
+    made = nginx_check.fuzz(1500)
+    assert (made.crashes, made.unaccounted) == ([], []) and 0 < made.read < 1500 and made.slowest_s < 2
+
+
+A_CONF = """
+limit_req_zone $server_name zone=all:1m rate=50r/s;
+split_clients $remote_addr $variant { 10% new; * old; }
+upstream old { server 127.0.0.1:9001 weight=3; server 127.0.0.1:9002; server 127.0.0.1:9003 backup; }
+upstream new { hash $http_x_user consistent; server 127.0.0.1:9004; server 127.0.0.1:9005 down; }
+server {
+  location / { proxy_pass http://old; }
+  location = /ping { return 204; }
+  location ^~ /static/ { root /var/www; }
+  location /api/ { proxy_pass http://new/v2/; limit_req zone=all;
+    location ~ \\.json$ { proxy_pass http://old; } }
+  location ~* \\.(gif|jpg)$ { proxy_pass http://new; }
+  location /split { proxy_pass http://$variant; }
+}
+"""
+
+
+def imported(tmp_path: Path, text: str, *more: str) -> tuple[Result, Path]:
+    (tmp_path / "nginx.conf").write_text(text)
+    out = tmp_path / "out"
+    args = ["import", "nginx", str(tmp_path / "nginx.conf"), "--out", str(out), *more]
+    return CliRunner().invoke(main, args), out
+
+
+def test_what_is_made_passes_the_check_and_says_what_was_meant(tmp_path: Path) -> None:
+    done, out = imported(tmp_path, A_CONF, "--mutating", "/submit-task", "--repeatable", "/api")
+    assert done.exit_code == 0, done.output
+    terms = read_terms((out / "director.json").read_bytes())
+    hosts = {host.id: host for host in read_hosts((out / "hosts.json").read_bytes())}
+    assert [hosts[f"127.0.0.1:900{k}"].size for k in (1, 2, 4)] == [675, 225, 100]  # 9 to 1 in the split
+    assert hosts["127.0.0.1:9003"].tier == 1 and hosts["127.0.0.1:9005"].draining
+    assert {host.tier for host in hosts.values()} == {0, 1}
+    assert terms.fleet.weights == "nominal"
+    for route in terms.routes:  # the kinds of a route name its hosts, and no others
+        named = {host.id[-4:] for host in hosts.values() if host.kind in route.kinds}
+        assert named in ({"9001", "9002", "9003"}, {"9004", "9005"}, {"9001", "9002", "9003", "9004", "9005"})
+    place, files = read_group(str(out / "tables"))
+    routes = tables.read_routes(files["rds.json"])[1][0].virtual_hosts[0].routes
+    clusters = {row.name: row for row in tables.read_clusters(files["cds.json"])[1]}
+
+    def goes(path: str) -> tuple[str, str, str]:
+        row = tables.first(routes, path)
+        assert row is not None
+        if row.direct_response is not None:
+            return str(row.direct_response.status), "", ""
+        cluster = clusters[row.route.cluster]
+        return cluster.eds_cluster_config.service_name, tables.target(row, path), cluster.lb_policy
+
+    assert goes("/x") == ("old", "/x", "ROUND_ROBIN") and goes("/ping") == ("204", "", "")
+    assert goes("/static/a.gif") == ("404", "", "") and goes("/b.GIF")[0] == "new"
+    assert goes("/api/a") == ("new", "/v2/a", "RING_HASH") and goes("/api/a.json")[:2] == (
+        "old",
+        "/api/a.json",
+    )
+    assert goes("/split")[0] == "new-old"
+    submit = tables.first(routes, "/submit-task/7")
+    assert submit is not None and tables.tries_of(submit.route.retry_policy) == 1
+    old = next(row for row in tables.read_tables(files["eds.json"])[1] if row.cluster_name == "old")
+    assert tables.priorities(old) == {"127.0.0.1:9001": 0, "127.0.0.1:9002": 0, "127.0.0.1:9003": 1}
+    report = json.loads((out / "report.json").read_bytes())
+    assert len(report) == len(re.findall(r"[;{]", A_CONF)) == len({row["place"] for row in report})
+
+
+def test_nothing_is_written_where_no_service_comes_out(tmp_path: Path) -> None:
+    for text, cause in (
+        ("server { location / { return 204; } }", "no route is left"),
+        ("server { location / { proxy_pass http://a; } } server { location / { proxy_pass http://b; } }",
+         "name one with --host"),
+        ("server { location / { proxy_pass http://a }", "nginx.conf:1:"),
+        ("".join(f"upstream u{k} {{ server a{k}; }}" for k in range(65)) + "server {"
+         + "".join(f"location /{k}/ {{ proxy_pass http://u{k}; }}" for k in range(65)) + "}",
+         "65 routes differ"),
+    ):  # fmt: skip
+        done, out = imported(tmp_path, text)
+        assert done.exit_code == 2 and cause in done.output and not out.exists(), done.output
+
+
+def test_what_changes_for_calls_and_no_more(tmp_path: Path) -> None:
+    old, new = tmp_path / "old.conf", tmp_path / "new.conf"
+    base = "upstream t { server a; server b; } server { location / { proxy_pass http://t; } %s }"
+    old.write_text(base % "")
+
+    def told(text: str) -> list[str]:
+        new.write_text(text)
+        done = CliRunner().invoke(main, ["import", "nginx", str(new), "--diff", str(old)])
+        rows = done.output.splitlines()
+        assert done.exit_code == (0 if len(rows) == 1 else 1)
+        return rows[:-1]
+
+    assert (
+        told("# moved\nserver { location / { proxy_pass http://t; } }\nupstream t { server b; server a; }")
+        == []
+    )
+    assert told(base % "location /x { proxy_pass http://t; }") == []
+    rows = told(base % "location /x { return 403; }")
+    assert len(rows) == 1 and rows[0].startswith("/x") and "-> answered 403" in rows[0]
+    rows = told((base % "").replace("server b", "server b weight=3"))
+    assert "a:80 50%, b:80 50%" in rows[0] and "a:80 25%, b:80 75%" in rows[0]
+    rows = told(base % "proxy_next_upstream error non_idempotent;")
+    assert any("by POST" in row and "one try" in row and "2 tries" in row for row in rows)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
-    st.integers(0, len(SAMPLES) - 1),
-    st.integers(0, 60),
-    st.sampled_from(["", ";", "{", "}", "x", "$", " ", "0"]),
+    st.sampled_from(
+        [*nginx_check.EXPRESSIONS, r"a{2,3}b?", r"^/(a|ab)/?b+", r"[^a/]+\\.x", "(ab|a)+1$", "^$"]
+    ),
+    st.lists(st.sampled_from(nginx_check.PIECES), max_size=3),
+    st.lists(st.sampled_from(nginx_check.PIECES), max_size=3),
+    st.booleans(),
 )
-def test_a_mutated_sample_is_read_with_a_verdict_each_or_told(k: int, at: int, piece: str) -> None:
-    text = SAMPLES[k][0]
-    text = text[:at] + piece + text[at + 1 :]
-    try:
-        rows = parse(text)
-    except SyntaxFault:
-        return
-    assert len(verdicts(rows)) == sum(1 for top in rows for _ in top.walk())
+def test_an_expression_is_worked_into_a_prefix_exactly(
+    text: str, before: list[str], after: list[str], nocase: bool
+) -> None:
+    prefix, path = "".join(before), "".join([*before, *after])
+    rest = left_after(text, prefix, nocase)
+    assert rest is not None
+    wanted = re.search(text, path, re.IGNORECASE if nocase else 0) is not None
+    made = f"{re.escape(prefix)}(?{'i' if nocase else ''}:{rest or '.*'})"
+    assert (re.fullmatch(made, path, re.DOTALL) is not None) is wanted
--- a/willowhook/cli/imports.py
+++ b/willowhook/cli/imports.py
@@ -2,46 +2,128 @@
 
 from __future__ import annotations
 
+import json
 import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from .commands import main
 
+if TYPE_CHECKING:
+    from ..nginx.plan import Plan
+    from ..nginx.verdicts import Verdict
+
 
 @main.group("import")
 def import_() -> None:
     """Read other programs' configurations."""
 
 
+def _keyed(told: tuple[str, ...]) -> tuple[tuple[str, int], ...]:
+    found = []
+    for each in told:
+        path, equals, window = each.rpartition("=")
+        if not equals or not window.isdigit() or not path.startswith("/"):
+            raise click.BadParameter(f"{each!r} is no PATH=MILLISECONDS", param_hint="--keyed")
+        found.append((path, int(window)))
+    return tuple(found)
+
+
 @import_.command()
-@click.argument("path", type=click.Path())
+@click.argument("paths", nargs=-1, required=True, type=click.Path())
+@click.option("--out", default="", help="A folder for what is made of it.")
 @click.option("--explain", "uri", default="", help="The URI of a call: what it meets.")
-@click.option("--host", default="", help="The server's name that it asks for.")
-@click.option("--method", default="GET", show_default=True)
+@click.option(
+    "--diff", "older", default="", type=click.Path(), help="What changes for calls since this file."
+)
+@click.option("--host", default="", help="The server's name.")
+@click.option("--method", default="GET", show_default=True, help="Of the call to explain.")
 @click.option("--mutating", multiple=True, help="A path whose calls must not have their effect twice.")
+@click.option("--repeatable", multiple=True, help="A path whose calls may run any number of times.")
+@click.option("--keyed", multiple=True, help="PATH=MS: hosts drop a repeat of one key within this time.")
+@click.option("--slo-ms", type=click.IntRange(1, 3_600_000), default=1000, show_default=True)
+@click.option("--proxies", type=click.IntRange(1, 65_000), default=8, show_default=True)
+@click.option("--zone", default="here", show_default=True, help="Of all hosts.")
+@click.option("--roster", default="http://127.0.0.1:8500", show_default=True, help="Where the list will be.")
 @click.option("--json", "as_json", is_flag=True, help="Verdicts as JSON, an object a line.")
-def nginx(path: str, uri: str, host: str, method: str, mutating: tuple[str, ...], as_json: bool) -> None:
-    """What becomes of each directive at PATH; or, with --explain, what one call meets.
+def nginx(
+    paths: tuple[str, ...], out: str, uri: str, older: str, host: str, method: str,
+    mutating: tuple[str, ...], repeatable: tuple[str, ...], keyed: tuple[str, ...], slo_ms: int,
+    proxies: int, zone: str, roster: str, as_json: bool,
+) -> None:  # fmt: skip
+    """What becomes of each directive at PATHS; with --explain what one call meets, with --diff what changes.
 
-    Exit codes: 0, 1 if something is refused, 2 if it cannot be read.
+    Exit codes: 0, 1 if something is refused or (--diff) changes, 2 if it cannot be read or made.
     """
-    import json
-
-    from ..nginx.explain import Setup
-    from ..nginx.syntax import Loader, SyntaxFault
-    from ..nginx.verdicts import REFUSED, verdicts
+    from ..config.check import TermsError
+    from ..nginx.diff import diff
+    from ..nginx.explain import explain
+    from ..nginx.plan import REFUSED, Asked, PlanFault
+    from ..nginx.setup import Setup
+    from ..nginx.syntax import Directive, Loader, SyntaxFault
+    from ..nginx.verdicts import verdicts
 
+    asked = Asked(host, mutating, repeatable, _keyed(keyed), slo_ms, zone)
     try:
+        loader, rows = Loader(), list[Directive]()
+        for path in paths:
+            rows += loader.load(path)
         if uri:
-            for line in Setup(path).explain(uri, host, method).lines():
+            for line in explain(Setup(rows), uri, host, method).lines():
                 click.echo(line)
             return
-        rows = verdicts(Loader().load(path), mutating)
-    except SyntaxFault as fault:
+        if older:
+            changes = diff(Setup(Loader().load(older)), Setup(rows), asked)
+            for line in changes:
+                click.echo(line)
+            click.echo(f"{len(changes)} changes for calls")
+            sys.exit(1 if changes else 0)
+        found, plan = verdicts(rows, asked)
+        if out:
+            if plan.ambiguous():
+                raise PlanFault(plan.ambiguous())
+            _write(Path(out), plan, found, proxies, roster)
+    except (SyntaxFault, PlanFault) as fault:
         click.echo(str(fault), err=True)
         sys.exit(2)
-    for row in rows:
-        told = {"place": str(row.place), "directive": row.directive, "verdict": row.what, "why": row.why}
-        click.echo(json.dumps(told) if as_json else row.line())
-    sys.exit(1 if any(row.what == REFUSED for row in rows) else 0)
+    except TermsError as fault:
+        for place, cause in fault.faults:
+            click.echo(f"what it would make: {place}: {cause}", err=True)
+        sys.exit(2)
+    except OSError as fault:
+        click.echo(f"{fault.filename}: {fault.strerror}", err=True)
+        sys.exit(2)
+    for row in found:
+        click.echo(json.dumps(row.told()) if as_json else row.line())
+    if not as_json:
+        for line in plan.remarks:
+            click.echo(f"note: {line}")
+    sys.exit(1 if any(row.what == REFUSED for row in found) else 0)
+
+
+def _write(out: Path, plan: Plan, found: list[Verdict], proxies: int, roster: str) -> None:
+    """All of it, or nothing: it is made before the first file is written."""
+    import msgspec
+
+    from ..files.ops import DiskOps
+    from ..files.swap import Shelf, swap_file
+    from ..nginx.plan import PlanFault
+    from ..nginx.result import host_list, table_files, terms_of
+
+    if not plan.routes:
+        raise PlanFault("no route is left: nothing here passes calls to hosts in a way that can be carried")
+    terms = terms_of(plan, proxies, str((out / "director").absolute()), roster)
+    report = "".join(f"{row.line()}\n" for row in found) + "".join(f"note: {row}\n" for row in plan.remarks)
+    files = {
+        "director.json": msgspec.json.format(msgspec.json.encode(terms), indent=1),
+        "hosts.json": host_list(plan),
+        "report.txt": report.encode(),
+        "report.json": msgspec.json.format(msgspec.json.encode([row.told() for row in found]), indent=1),
+    }
+    group = table_files(plan, terms)
+    out.mkdir(parents=True, exist_ok=True)
+    for name, data in files.items():
+        swap_file(DiskOps(), str(out), name, data)
+    Shelf(str(out / "tables")).put(group)
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -68,6 +68,9 @@
     status: Annotated[int, Meta(ge=200, le=599)] = 404
 
 
+Semantics = Literal["repeatable", "keyed", "mutating"]
+
+
 class RouteTerms(Part, frozen=True, kw_only=True):
     """A route: calls whose path is `path` or lies below it, and those of `more`."""
 
@@ -84,7 +87,7 @@
     time_limit_ms: Positive
     importance: Positive = 1
     late_importance: AtLeast0 = 0
-    semantics: Literal["repeatable", "keyed", "mutating"] = "mutating"
+    semantics: Semantics = "mutating"
     group: Literal["", "all", "zone", "cell"] = ""
     window_ms: AtLeast0 = 0
     writes: bool = False
--- a/willowhook/nginx/locations.py
+++ b/willowhook/nginx/locations.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .syntax import Directive, SyntaxFault
+from .syntax import Directive, Place, SyntaxFault
 
 EXACT, PRIORITY, PREFIX, REGEX, REGEX_NOCASE, NAMED = "=", "^~", "", "~", "~*", "@"
 KINDS = (EXACT, PRIORITY, REGEX, REGEX_NOCASE)
@@ -34,7 +35,18 @@
         return f"location {self.kind} {self.pattern}".replace("  ", " ")
 
 
-def read(directive: Directive) -> Location:
+def compiled(pattern: str, nocase: bool, place: Place) -> re.Pattern[str]:
+    """An expression of the language; groups may be named its way.  Raises SyntaxFault."""
+    try:
+        return re.compile(re.sub(r"\(\?<(?=[A-Za-z_])", "(?P<", pattern), re.IGNORECASE if nocase else 0)
+    except (re.error, RecursionError, OverflowError) as fault:
+        raise SyntaxFault(place, f"no regular expression: {fault}") from fault
+
+
+Kept = Callable[[Directive, SyntaxFault], None]
+
+
+def read(directive: Directive, kept: Kept | None = None) -> Location:
     """One `location` with those in it; raises SyntaxFault."""
     words = [word.text for word in directive.args]
     if len(words) == 2 and words[0] in KINDS:
@@ -53,33 +65,47 @@
         )
     made = Location(kind, pattern, directive)
     if kind in (REGEX, REGEX_NOCASE):
+        made.regex = compiled(pattern, kind == REGEX_NOCASE, directive.args[-1].place)
+    made.inner = read_all(directive.block or [], kept)
+    for each in list(made.inner):
         try:
-            made.regex = re.compile(pattern, re.IGNORECASE if kind == REGEX_NOCASE else 0)
-        except re.error as fault:
-            raise SyntaxFault(directive.args[-1].place, f"no regular expression: {fault}") from fault
-    made.inner = read_all(directive.block or [])
-    for each in made.inner:
-        if kind == EXACT:
-            raise SyntaxFault(each.directive.place, f"a location within {made}, which is exact")
-        if kind == NAMED or each.kind == NAMED:
-            raise SyntaxFault(each.directive.place, "named locations stand in the server alone")
-        if each.regex is None and made.regex is None and not each.pattern.startswith(pattern):
-            raise SyntaxFault(each.directive.place, f"{each} is outside {made}")
+            _within(made, each)
+        except SyntaxFault as fault:
+            if kept is None:
+                raise
+            kept(each.directive, fault)
+            made.inner.remove(each)
     return made
 
 
-def read_all(rows: list[Directive]) -> list[Location]:
-    """The locations of one block, in order; raises SyntaxFault for one that stands twice."""
+def _within(made: Location, each: Location) -> None:
+    """Raises SyntaxFault where `each` cannot stand in `made`."""
+    if made.kind == EXACT:
+        raise SyntaxFault(each.directive.place, f"a location within {made}, which is exact")
+    if NAMED in (made.kind, each.kind):
+        raise SyntaxFault(each.directive.place, "named locations stand in the server alone")
+    if each.regex is None and made.regex is None and not each.pattern.startswith(made.pattern):
+        raise SyntaxFault(each.directive.place, f"{each} is outside {made}")
+
+
+def read_all(rows: list[Directive], kept: Kept | None = None) -> list[Location]:
+    """The locations of one block, in order; raises SyntaxFault, or hands it to `kept` and goes on."""
     found: list[Location] = []
     seen: dict[tuple[str, str], Location] = {}
     for row in rows:
         if row.name != "location":
             continue
-        made = read(row)
-        # a prefix with and without `^~` is the same location
-        key = ("prefix" if made.kind in (PREFIX, PRIORITY) else made.kind, made.pattern)
-        if made.regex is None and key in seen:
-            raise SyntaxFault(row.place, f"{made} stands twice, first at {seen[key].directive.place}")
+        try:
+            made = read(row, kept)
+            # a prefix with and without `^~` is the same location
+            key = ("prefix" if made.kind in (PREFIX, PRIORITY) else made.kind, made.pattern)
+            if made.regex is None and key in seen:
+                raise SyntaxFault(row.place, f"{made} stands twice, first at {seen[key].directive.place}")
+        except SyntaxFault as fault:
+            if kept is None:
+                raise
+            kept(row, fault)
+            continue
         seen.setdefault(key, made)
         found.append(made)
     return found
--- /dev/null
+++ b/willowhook/nginx/result.py
@@ -0,0 +1,105 @@
+"""What an import makes: a director's configuration, the list of hosts, tables for proxies without one.
+
+Bytes only, no I/O.  The list is in the catalogue's published form, the tables in that of the file front.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..config.check import read_terms
+from ..config.example import EXAMPLE
+from ..config.facts import SEMANTICS, paths
+from ..config.terms import ClosedTerms, FileTerms, RecordTerms, Terms
+from ..membership.claim import safe_tries
+from ..xds import forms, tables
+from ..xds.codec import encode, response
+from .plan import Plan
+
+SERVICE = "tasks"
+VERSION = "0.0.1"  # of tables that no director sent
+MAINTENANCE = "_service_maintenance:"
+
+
+def terms_of(plan: Plan, proxies: int, folder: str, roster: str) -> Terms:
+    """A configuration of one director that passes the check; raises TermsError."""
+    replace = msgspec.structs.replace
+    fleet = replace(
+        EXAMPLE.fleet, proxies=proxies, pick=plan.pick(), strikes=plan.strikes,
+        weights="nominal" if plan.weighted() else "none", cross_zone_price=0.0, standing=0,
+        dial_ms=float(min(plan.dial_ms, 10_000) or 250) if plan.dial_ms < 60_000 else 250.0,
+    )  # fmt: skip
+    lines = max(EXAMPLE.channel.lines_per_s, 40.0 * proxies)
+    channel = replace(EXAMPLE.channel, lines_per_s=lines, most_waiting_lines=2 * lines)
+    rules = replace(EXAMPLE.rules, cold_ms=float(plan.cold_ms or EXAMPLE.rules.cold_ms))
+    kinds, of = plan.kinds(), {host.id: host.groups for host in plan.hosts.values()}
+    routes = tuple(
+        replace(route, kinds=tuple(dict.fromkeys(
+            kinds[host] for host in kinds if plan.group_of[route.name] in of[host]
+        )))
+        for route in plan.routes
+    )  # fmt: skip
+    zone = plan.asked.zone
+    made = Terms(
+        name="director", zone=zone, zones=(zone,), files=FileTerms(folder=folder),
+        roster=replace(EXAMPLE.roster, url=roster, service=SERVICE), routes=routes,
+        closed=tuple(plan.closed), channel=channel, rules=rules, fleet=fleet,
+        records=RecordTerms(file=f"{folder}.records"),
+    )  # fmt: skip
+    return read_terms(msgspec.json.encode(made))
+
+
+def host_list(plan: Plan) -> bytes:
+    """The catalogue's answer for all hosts."""
+    kinds, zone = plan.kinds(), plan.asked.zone
+    rows: list[dict[str, Any]] = []
+    for host in plan.hosts.values():
+        meta = {"kind": kinds[host.id], "tier": str(host.tier)}
+        check = {"CheckID": f"{MAINTENANCE}{host.id}", "Status": "critical"}
+        rows.append({
+            "Node": {"Node": host.address, "Datacenter": zone},
+            "Service": {"ID": host.id, "Address": host.address.strip("[]"), "Port": host.port, "Meta": meta,
+                        "Weights": {"Passing": int(host.weight), "Warning": 1}},
+            "Checks": [check] if host.draining else [],
+        })  # fmt: skip
+    return msgspec.json.format(msgspec.json.encode(rows), indent=1)
+
+
+def table_files(plan: Plan, terms: Terms) -> dict[str, bytes]:
+    """The group of files of a proxy that follows no director: the tables as they were."""
+    zone, ticks = plan.asked.zone, round(terms.fleet.dial_ms * 10)
+    assignments, clusters, rows = dict[str, bytes](), dict[str, bytes](), list[bytes]()
+    by_name = {group.name: group for group in plan.groups.values()}
+    for name, group in by_name.items():
+        lines: list[tables.Line] = []
+        top = max((row[1] for row in group.rows), default=1.0)
+        for host, weight, _, draining in group.rows:
+            at = plan.hosts[host]
+            lines.append((host, at.address.strip("[]"), at.port, zone, weight / top, draining))
+        later = {host: tier for host, _, tier, _ in group.rows if tier}
+        assignments[name] = encode(tables.assignment(name, lines, later))
+    for k, path in paths(terms):
+        if isinstance(path, ClosedTerms):
+            rows.append(encode(tables.closed(tables.match(path.match, path.path), path.status)))
+            continue
+        route = terms.routes[k]
+        group = by_name[plan.group_of[route.name]]
+        to = f"{route.name}@{group.name}"
+        pick = "ring" if route.hash_by else group.pick
+        clusters[to] = encode(tables.cluster(to, group.name, "eds.json", pick, ticks, terms.fleet.strikes))
+        tries = min(
+            safe_tries(SEMANTICS[route.semantics], 2 if route.semantics == "repeatable" else 1), route.tries
+        )
+        filters = tables.level("rps", route.most_per_s or float("inf"), 1)
+        rows.append(encode(tables.route(
+            route.name, tables.match(path.match, path.path), to, round(route.time_limit_ms * 10),
+            tables.retry(tries, round(route.time_limit_ms * 10)), filters, path.rewrite, route.hash_by,
+        )))  # fmt: skip
+    calls = {"name": "all", "domains": ["*"], "routes": [msgspec.Raw(row) for row in rows]}
+    routes = encode({"@type": forms.ROUTES, "name": "calls", "virtual_hosts": [calls]})
+    bodies = {"eds": list(assignments.values()), "cds": list(clusters.values()), "rds": [routes]}
+    return {
+        f"{kind}.json": response(VERSION, forms.FILES[kind], VERSION, each) for kind, each in bodies.items()
+    }  # fmt: skip
