nginx export: tables as upstream and location blocks, swapped whole, and back again

Once, or following a proxy's group; what cannot be said is told, what is no group leaves what was there. import(export(t)) = t on 150 random sets of tables: hosts, weights, drains, backups, picks, keys, levels, rewrites and times at 15 paths each.

--- /dev/null
+++ b/tests/test_export.py
@@ -0,0 +1,197 @@
+"""Tables as upstream and location blocks and back: the same hosts, shares, backups, paths and answers."""
+
+from __future__ import annotations
+
+import math
+from functools import reduce
+from pathlib import Path
+from typing import Any
+
+import pytest
+import structlog
+import trio
+from click.testing import CliRunner
+from hypothesis import assume, given, settings
+from hypothesis import strategies as st
+
+from willowhook.cli.main import main
+from willowhook.files.swap import Shelf, read_group
+from willowhook.nginx.export import LOCATIONS, UPSTREAMS, anchored, export
+from willowhook.nginx.follow import Follower
+from willowhook.nginx.plan import Asked, Plan
+from willowhook.nginx.result import table_files, terms_of
+from willowhook.nginx.setup import Setup
+from willowhook.nginx.syntax import parse
+from willowhook.xds import forms, tables
+from willowhook.xds.codec import FormError, encode, response
+
+Route = tuple[str, str, str, int, float, str]  # match, path, table or status, ms, level, rewrite
+PATHS = ["/", "/a", "/ab", "/a/b", "/a/b/", "/x.gif", "/load-task"]
+
+
+def group(
+    made: dict[str, dict[str, tuple[int, bool, int]]], picks: dict[str, str], routes: list[Route]
+) -> dict[str, bytes]:
+    """Files of a proxy: by table its hosts with weight, draining, tier; picks by table; routes in order."""
+    eds, cds, rds = [], [], []
+    for name, rows in made.items():
+        lines = [(h, h, 80, "z", w / tables.SCALE, out) for h, (w, out, _) in rows.items()]
+        later = {h: tier for h, (_, _, tier) in rows.items() if tier}
+        eds.append(encode(tables.assignment(name, lines, later)))
+        pick, _, by = picks[name].partition(" ")
+        cds.append(encode(tables.cluster(f"r@{name}", name, "", pick, 3000, 0)))
+    for match, path, to, ms, level, rewrite in routes:
+        how = tables.match(match, path)
+        if to.isdigit():
+            rds.append(tables.closed(how, int(to)))
+            continue
+        by = picks[to].partition(" ")[2]
+        filters = tables.level("rps", level, 1)
+        rds.append(tables.route("r", how, f"r@{to}", ms * 10, tables.retry(0, 0), filters, rewrite, by))
+    sets = encode(tables.in_order("calls", rds))
+    bodies = {"eds": eds, "cds": cds, "rds": [sets]}
+    return {f"{k}.json": response("1.1.1", forms.FILES[k], "1.1.1", rows) for k, rows in bodies.items()}
+
+
+def again(files: dict[str, bytes]) -> dict[str, bytes]:
+    """Exported, and imported from the blocks; nothing where no route is left."""
+    made = export(files)
+    text = made.files[UPSTREAMS].decode() + "server {" + made.files[LOCATIONS].decode() + "}"
+    plan = Plan(Setup(parse(text)), Asked())
+    if not plan.routes:
+        return {}
+    return table_files(plan, terms_of(plan, 8, "run/d", "http://127.0.0.1:1"))
+
+
+def says(files: dict[str, bytes], path: str) -> Any:
+    """All that becomes of a call of this path."""
+    assignments = {row.cluster_name: row for row in tables.read_tables(files["eds.json"])[1]}
+    clusters = {row.name: row for row in tables.read_clusters(files["cds.json"])[1]}
+    routes = tables.read_routes(files["rds.json"])[1][0].virtual_hosts[0].routes
+    row = tables.first(routes, path)
+    if row is None:
+        return None
+    if row.direct_response is not None:
+        return row.direct_response.status
+    cluster = clusters[row.route.cluster]
+    table = assignments[cluster.eds_cluster_config.service_name]
+    tiers = tables.priorities(table)
+    weights = {line[0]: round(line[4] * tables.SCALE) for line in tables.lines(table)}
+    divisor = reduce(math.gcd, weights.values())
+    hosts = {
+        line[1]: (weights[line[0]] // divisor, line[5], tiers[line[0]]) for line in tables.lines(table)
+    }  # fmt: skip
+    rate = round(tables.level_of(row.typed_per_filter_config)[1], 6)
+    return hosts, cluster.lb_policy, row.route.hash_policy, row.route.timeout, rate, tables.target(row, path)
+
+
+hosts = st.dictionaries(
+    st.sampled_from(["h1", "h2", "h3", "h4"]), st.integers(1, 1_000_000), min_size=1, max_size=4
+)
+RINGS = ["ring source_ip", "ring header:x-user", "ring header::path", "ring query:q", "ring cookie:c"]
+picks = st.sampled_from(["wheel", "pair", "lottery", *RINGS])
+matches = st.one_of(
+    st.tuples(st.sampled_from(["exact", "prefix", "below"]), st.sampled_from(PATHS)),
+    st.tuples(st.just("regex"), st.sampled_from(["(?s).*(?:\\.gif$).*", "(?s)/a.*", "(?si).*(?:B).*"])),
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.lists(st.tuples(hosts, picks), min_size=1, max_size=3),
+    st.lists(
+        st.tuples(matches, st.integers(0, 4), st.sampled_from([math.inf, 2.0, 40.0])), min_size=1, max_size=6
+    ),
+    st.sets(st.sampled_from(["h1", "h2"])),
+    st.sets(st.sampled_from(["h3", "h4"])),
+)  # fmt: skip
+def test_import_of_an_export_is_what_was_exported(
+    rows: list[tuple[dict[str, int], str]], ways: list[tuple[tuple[str, str], int, float]],
+    out: set[str], later: set[str],
+) -> None:  # fmt: skip
+    made, how, routes = {}, {}, list[Route]()
+    for k, (weights, pick) in enumerate(rows):
+        tiers = pick in ("wheel",) and any(host not in later for host in weights)
+        made[f"t{k}"] = {
+            h: (w, h in out, int(tiers and h in later)) for h, w in weights.items()
+        }  # fmt: skip
+        how[f"t{k}"] = pick
+    if any(tier for rows_ in made.values() for _, _, tier in rows_.values()):  # one rank a host, everywhere
+        for rows_ in made.values():
+            keep = {h: (w, o, int(h in later)) for h, (w, o, _) in rows_.items()}
+            rows_.clear()
+            rows_.update(keep)
+            if all(tier for _, _, tier in rows_.values()):
+                rows_["h0"] = (1, False, 0)
+        how = dict.fromkeys(how, "wheel")
+    for (match, path), to, level in ways:
+        target = f"t{to}" if f"t{to}" in made else "403"
+        routes.append((match, path, target, 1500, level if target != "403" else math.inf, ""))
+    routes.append(("prefix", "/zz/", "t0", 900, math.inf, "/y/"))
+    files = group(made, how, routes)
+    back = again(files)
+    assume(back)
+    for path in [*PATHS, "/b", "/a/c", "/B", "/q.gif", "/a/q.gif", "/abc", "/zz/1", "/load-task/1"]:
+        assert says(back, path) == says(files, path), (path, export(files).files[LOCATIONS].decode())
+
+
+def test_what_cannot_be_said_is_told() -> None:
+    def remarks(pick: str, rows: dict[str, tuple[int, bool, int]], tries: int = 0) -> str:
+        files = group({"t": rows}, {"t": pick}, [("below", "/", "t", 1000, math.inf, "")])
+        if tries:
+            row = tables.route("r", tables.match("below", "/"), "r@t", 1000, tables.retry(tries, 100), {})
+            sets = encode(tables.in_order("calls", [row]))
+            files["rds.json"] = response("1.1.1", forms.ROUTES, "1.1.1", [sets])
+        return " ".join(export(files).remarks)
+
+    assert remarks("wheel", {"a": (1, False, 0)}) == ""
+    assert "neither chance nor a ring" in remarks("lottery", {"a": (1, False, 0), "b": (1, False, 1)})
+    assert "of one rank" in remarks("wheel", {"a": (1, False, 0), "b": (1, False, 1), "c": (1, False, 2)})
+    assert "is empty" in remarks("wheel", {})
+    assert "after proof" in remarks("wheel", {"a": (1, False, 0)}, 1)
+    with pytest.raises(FormError, match="eds.json is missing"):
+        export({"cds.json": b"", "rds.json": b""})
+    assert anchored("(?s)a|b") == "(?s)^(?:a|b)$"
+
+
+def test_a_group_is_followed_and_what_is_no_group_leaves_what_was_there(tmp_path: Path) -> None:
+    def files(weight: int) -> dict[str, bytes]:
+        rows = {"a": (weight, False, 0), "b": (10, False, 0)}
+        return group({"t": rows}, {"t": "wheel"}, [("below", "/", "t", 1000, math.inf, "")])
+
+    group_of, out = Shelf(str(tmp_path / "p1")), tmp_path / "out"
+    group_of.put(files(10))
+    follower = Follower(str(tmp_path / "p1"), Shelf(str(out)), structlog.get_logger())
+
+    def text() -> str:
+        try:
+            return read_group(str(out))[1][UPSTREAMS].decode()
+        except OSError:
+            return ""
+
+    async def until(what: str) -> None:
+        with trio.fail_after(8):
+            while what not in text():
+                await trio.sleep(0.01)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await until("server a:80 weight=1;")
+            group_of.put(files(30))
+            await until("server a:80 weight=3;")
+            group_of.put({**files(50), "eds.json": b"{"})
+            await trio.sleep(0.2)
+            assert "weight=3" in text()
+            group_of.put(files(70))
+            await until("server a:80 weight=7;")
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    done = CliRunner().invoke(
+        main, ["export", "nginx", str(tmp_path / "p1"), "--out", str(tmp_path / "once")]
+    )
+    assert done.exit_code == 0, done.output
+    assert read_group(str(tmp_path / "once"))[1] == read_group(str(out))[1]
+    done = CliRunner().invoke(main, ["export", "nginx", str(tmp_path / "none"), "--out", str(tmp_path / "x")])
+    assert done.exit_code == 2 and "No such file" in done.output
--- a/willowhook/nginx/flat.py
+++ b/willowhook/nginx/flat.py
@@ -27,6 +27,8 @@
              "ATOMIC_GROUP": "has an atomic group",
              "POSSESSIVE_REPEAT": "has a possessive repeat"}  # fmt: skip
 
+ANCHORED = re.compile(r"^(\(\?[a-z]+\))\^\(\?:(.*)\)\$$", re.DOTALL)
+
 
 @dataclass(slots=True)
 class Entry:
@@ -47,7 +49,7 @@
     text = re.sub(r"\(\?<(?=[A-Za-z_])", "(?P<", location.pattern)
     flags = "(?si)" if nocase else "(?s)"
     if not within:
-        return f"{flags}.*(?:{text}).*"
+        return _anchored_already(text, nocase) or f"{flags}.*(?:{text}).*"
     rest = left_after(text, within, nocase)
     if rest is None:  # what is missed is found when the list is set beside the search
         plain = f"(?:{text})" if "|" in text else text
@@ -57,6 +59,18 @@
     return f"(?s){re.escape(within)}{'(?i:' if nocase else '(?:'}{rest})"
 
 
+def _anchored_already(text: str, nocase: bool) -> str:
+    """What stands between the ends of an expression for whole paths, as an export writes it; else empty."""
+    found = ANCHORED.match(text)
+    if found is None or nocase:
+        return ""
+    try:
+        re.compile(found[2])
+    except re.error:
+        return ""
+    return f"{found[1]}{found[2]}"
+
+
 def _expression(place: Place, within: str = "") -> Entry:
     text = whole(place.location, within)
     return Entry(REGEX, text, place) if text else Entry(PREFIX, within, place)
@@ -125,7 +139,11 @@
             if id(place) not in chosen:
                 plain += self._block(place, [])
         found += sorted(plain, key=lambda row: -len(row.path))
-        return [row for each in found for row in _by_map(each)]
+        rows: dict[tuple[str, str], Entry] = {}
+        for each in found:
+            for row in _by_map(each):
+                rows.setdefault((row.match, row.path), row)  # what stands twice is reached once
+        return list(rows.values())
 
     def _inner(self, place: Place) -> list[Place]:
         return [*place.inner, *self._extra.get(id(place), ())]
--- a/willowhook/nginx/plan.py
+++ b/willowhook/nginx/plan.py
@@ -440,10 +440,10 @@
             found.append(upstream)
             self._used.add(name)
         rows: dict[str, tuple[str, float, int, bool]] = {}
-        tiers = 0 if all(upstream.primaries() for upstream in found) else -1
+        ranked = all(any(not s.backup for s in upstream.servers) for upstream in found)
         for (name, _), upstream in zip(parts, found, strict=True):
             for server in upstream.servers:
-                self._server(server, rows, server.weight * self._scale.get(name, 1.0), tiers)
+                self._server(server, rows, server.weight * self._scale.get(name, 1.0), ranked)
         if not rows:
             return None
         taken = {group.name for group in self.groups.values()}
@@ -476,9 +476,9 @@
         return by
 
     def _server(
-        self, server: Server, rows: dict[str, tuple[str, float, int, bool]], weight: float, tiers: int
+        self, server: Server, rows: dict[str, tuple[str, float, int, bool]], weight: float, ranked: bool
     ) -> None:
-        tier = 1 if server.backup and tiers == 0 else 0
+        tier = 1 if server.backup and ranked else 0
         name, row = f"{server.address}:{server.port}", server.directive
         if tier and name in self._primaries:
             self.tell(row, LEFT, f"{name} is no backup for another upstream, and a host is one or the other")
--- a/willowhook/nginx/result.py
+++ b/willowhook/nginx/result.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -20,6 +21,7 @@
 
 SERVICE = "tasks"
 VERSION = "0.0.1"  # of tables that no director sent
+MOST = tables.MOST
 MAINTENANCE = "_service_maintenance:"
 
 
@@ -74,10 +76,14 @@
     by_name = {group.name: group for group in plan.groups.values()}
     for name, group in by_name.items():
         lines: list[tables.Line] = []
+        # whole multiples, so that whole weights keep their ratios to the last digit
         top = max((row[1] for row in group.rows), default=1.0)
+        factor = min(MOST // 4096 // math.ceil(top), tables.SCALE) or MOST / 4096 / top
         for host, weight, _, draining in group.rows:
             at = plan.hosts[host]
-            lines.append((host, at.address.strip("[]"), at.port, zone, weight / top, draining))
+            lines.append(
+                (host, at.address.strip("[]"), at.port, zone, weight * factor / tables.SCALE, draining)
+            )
         later = {host: tier for host, _, tier, _ in group.rows if tier}
         assignments[name] = encode(tables.assignment(name, lines, later))
     for k, path in paths(terms):
