--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -330,6 +330,28 @@
         assert done.exit_code == 2 and cause in done.output and not out.exists(), done.output
 
 
+T = "server { location / { proxy_pass http://t; } }"
+BROKEN = [
+    (T.replace("t;", "t"), "1:43: '}' without a directive or block before it ends: is ';' missing?"),
+    (T[:-1] + "\n", "the file ends within a block that begins in line 1"),
+    ("upstream t { server a:eighty; }" + T, "refused: 1:21: 'a:eighty' is no address"),
+    (T.replace("t;", "tasks;") + "upstream task { server a; }", "is 'task' meant?"),
+    ("include missing.conf;", "1:1: "),
+    ("server { location ~ ^/(a|b { return 404; } }", "no regular expression"),
+    ("upstream t { server a wieght=3; }" + T, "'wieght' is no parameter of server"),
+    (T.replace("http", '"http'), "a quote that does not end"),
+    (T + T, "name one with --host"),
+    (T.replace("t;", "t; proxy_read_timeout soon;"), "1:63: 'soon' is no time"),
+]
+
+
+@pytest.mark.parametrize(("text", "told"), BROKEN)
+def test_ten_broken_files_are_told_with_place_and_cause(tmp_path: Path, text: str, told: str) -> None:
+    done, _ = imported(tmp_path, text)
+    assert told in done.output, done.output
+    assert "Traceback" not in done.output
+
+
 def test_what_changes_for_calls_and_no_more(tmp_path: Path) -> None:
     old, new = tmp_path / "old.conf", tmp_path / "new.conf"
     base = "upstream t { server a; server b; } server { location / { proxy_pass http://t; } %s }"
--- a/willowhook/cli/imports.py
+++ b/willowhook/cli/imports.py
@@ -65,6 +65,9 @@
     from ..nginx.syntax import Directive, Loader, SyntaxFault
     from ..nginx.verdicts import verdicts
 
+    for each in (*mutating, *repeatable):
+        if not each.startswith("/"):
+            raise click.BadParameter(f"{each!r} is no path: it begins with /")
     asked = Asked(host, mutating, repeatable, _keyed(keyed), slo_ms, zone)
     try:
         loader, rows = Loader(), list[Directive]()
@@ -84,6 +87,10 @@
         if out:
             if plan.ambiguous():
                 raise PlanFault(plan.ambiguous())
+            if not plan.routes:
+                causes = [row.line() for row in found if row.what == REFUSED]
+                text = "no route is left: nothing here passes calls to hosts in a way that can be carried"
+                raise PlanFault("\n".join([*causes, text]))
             _write(Path(out), plan, found, proxies, roster)
     except (SyntaxFault, PlanFault) as fault:
         click.echo(str(fault), err=True)
@@ -109,11 +116,8 @@
 
     from ..files.ops import DiskOps
     from ..files.swap import Shelf, swap_file
-    from ..nginx.plan import PlanFault
     from ..nginx.result import host_list, table_files, terms_of
 
-    if not plan.routes:
-        raise PlanFault("no route is left: nothing here passes calls to hosts in a way that can be carried")
     terms = terms_of(plan, proxies, str((out / "director").absolute()), roster)
     report = "".join(f"{row.line()}\n" for row in found) + "".join(f"note: {row}\n" for row in plan.remarks)
     files = {
--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -356,3 +356,59 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command("nginx-same")
+@click.option(
+    "--calls", type=click.IntRange(20, 100_000), default=150, show_default=True, help="A path, each way."
+)
+@click.option("--samples", "only", type=click.IntRange(0, 10_000), default=0, help="So many samples; 0: all.")
+@click.option("--at-once", type=click.IntRange(1, 32), default=4, show_default=True)
+def nginx_same(calls: int, only: int, at_once: int) -> None:
+    """Blocks and what was imported of them serve side by side: the same hosts, backups, answers, effects."""
+    from ..trial.nginx_same import same
+
+    done = same(calls, click.echo, only, at_once)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
+
+
+@trial.command("nginx-check")
+@click.option("--uris", type=click.IntRange(1, 100_000_000), default=100_000, show_default=True)
+@click.option("--inputs", type=click.IntRange(1, 100_000_000), default=50_000, show_default=True)
+@click.option("--seed", type=int, default=5, show_default=True)
+def nginx_check(uris: int, inputs: int, seed: int) -> None:
+    """Locations beside the rules read one by one, lists beside the search, mutated samples (memory)."""
+    from ..trial import nginx_check as checks
+    from ..trial.corpus import samples, wrong
+
+    rows = samples()
+    bad = [line for sample in rows for line in wrong(sample)]
+    click.echo(f"{len(rows)} samples, {sum(len(row.wanted) for row in rows)} verdicts: {len(bad)} wrong")
+    asked, apart = checks.match(uris, seed)
+    click.echo(f"{asked} URIs, matcher beside the rules: {len(apart)} differ")
+    lists = checks.lists(uris, seed)
+    told = f"{lists.differ} differ, {len(lists.untold)} of them untold, in {lists.configs} configurations"
+    click.echo(f"{lists.asked} URIs, lists beside the search: {told}")
+    fuzz = checks.fuzz(inputs, seed)
+    click.echo(f"{fuzz.inputs} mutated inputs: {fuzz.read} read with {fuzz.directives} directives,"
+               f" {len(fuzz.unaccounted)} unaccounted, {len(fuzz.crashes)} crashes,"
+               f" slowest {fuzz.slowest_s * 1000:.0f} ms")  # fmt: skip
+    for line in [*bad, *apart, *lists.untold, *fuzz.unaccounted, *fuzz.crashes][:20]:
+        click.echo(line)
+    sys.exit(1 if bad or apart or lists.untold or fuzz.unaccounted or fuzz.crashes else 0)
+
+
+@trial.command("nginx-director")
+@click.option("--folder", type=click.Path(), default="")
+def nginx_director(folder: str) -> None:
+    """A director on what an import made: its hosts, weights, closed paths, and when backups serve."""
+    import tempfile
+
+    from ..trial.nginx_director import director_day
+
+    done = director_day(Path(folder or tempfile.mkdtemp(prefix="willowhook-")))
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/membership/tiers.py
+++ b/willowhook/membership/tiers.py
@@ -18,8 +18,8 @@
 
 from ..state import Ring
 
-BUCKET, BUCKETS = 5_000, 6  # three seconds of what calls met
-LEAST_TRIES = 8  # none of so many answered: it does not answer
+BUCKET, BUCKETS = 5_000, 6  # three seconds of tries that failed
+LEAST_TRIES = 8  # so many failed on end: it does not answer
 HOLD = 5 * 10_000  # a later tier stays for so long after one before it is back
 
 
@@ -35,7 +35,7 @@
     tier: int
     draining: bool
     started: int  # 0: warm
-    met: Ring = field(default_factory=lambda: Ring(BUCKET, BUCKETS, 2))
+    met: Ring = field(default_factory=lambda: Ring(BUCKET, BUCKETS, 1))
     silent: bool = False  # it does not answer, and has not answered since
 
 
@@ -86,14 +86,12 @@
         row = self._rows.get(host)
         if row is None or all(len(self._groups[group].tiers) < 2 for group in row.groups):
             return
-        row.met.add(now, tries, errors)
-        if errors < tries:
-            if row.silent:
-                row.met = Ring(BUCKET, BUCKETS, 2)
+        if errors < tries:  # what failed before it does not count any more
+            row.met.forget()
             row.silent = False
             return
-        met, failed = row.met.total(now, BUCKETS)
-        row.silent = row.silent or (met >= LEAST_TRIES and failed >= met)
+        row.met.add(now, tries)
+        row.silent = row.silent or row.met.total(now, BUCKETS)[0] >= LEAST_TRIES
 
     def look(self, now: int) -> None:
         """Lets in and holds what the time has come for."""
--- a/willowhook/nginx/plan.py
+++ b/willowhook/nginx/plan.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import difflib
 import math
 import re
 from collections.abc import Iterable
@@ -20,8 +21,7 @@
 CARRIED, DIFFERS, LEFT, REFUSED = "carried", "carried, differs", "not carried", "refused"
 MOST_ROUTES, MOST_WEIGHT = 64, 65_535
 AWAY = 503  # what calls get that would otherwise go where they must not
-KEYS = {"$remote_addr": "source_ip", "$binary_remote_addr": "source_ip", "$request_uri": "header::path",
-        "$uri": "header::path"}  # fmt: skip
+KEYS = {"$remote_addr": "source_ip", "$binary_remote_addr": "source_ip", "$request_uri": "header::path"}
 CONSTANT = ("$server_name", "$server_addr", "$server_port")
 STRIP = re.compile(r"^\^(/[\w/.-]*)\(\.\*\)\$?$")
 PICKS = {"wheel": "wheel", "pair": "pair", "lottery": "lottery", "hash": "pair", "ip_hash": "pair"}
@@ -77,7 +77,7 @@
     name: str
     pick: str
     by: str  # of a ring
-    rows: list[tuple[str, float, int, bool]]  # host, weight, tier, draining
+    rows: list[tuple[str, float, int, bool]]  # host, weight here, tier, draining
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +208,11 @@
         if not row.arg(0).startswith("http://"):
             self.tell(row, DIFFERS, "hosts are spoken to without TLS")
         choice = target.choice
+        for name, _ in target.parts:
+            if name not in self.setup.upstreams:
+                near = difflib.get_close_matches(name, self.setup.upstreams, 1, 0.7)
+                meant = f"; is {near[0]!r} meant?" if near else ""
+                self.tell(row, CARRIED, f"no upstream is named {name!r}: a host of that address{meant}")
         if choice is not None and choice.kind == "split":
             self.tell(row, DIFFERS, "shares of calls: a caller may meet another share each time")
             self.tell(choice.directive, DIFFERS, f"shares of calls, not of {choice.source}")
@@ -441,9 +446,11 @@
             self._used.add(name)
         rows: dict[str, tuple[str, float, int, bool]] = {}
         ranked = all(any(not s.backup for s in upstream.servers) for upstream in found)
-        for (name, _), upstream in zip(parts, found, strict=True):
+        for (name, share), upstream in zip(parts, found, strict=True):
+            total = sum(server.weight for server in upstream.primaries() or upstream.backups()) or 1
             for server in upstream.servers:
-                self._server(server, rows, server.weight * self._scale.get(name, 1.0), ranked)
+                own = server.weight * share / total * 1000 if len(parts) > 1 else float(server.weight)
+                self._server(server, rows, server.weight * self._scale.get(name, 1.0), ranked, own)
         if not rows:
             return None
         taken = {group.name for group in self.groups.values()}
@@ -476,7 +483,12 @@
         return by
 
     def _server(
-        self, server: Server, rows: dict[str, tuple[str, float, int, bool]], weight: float, ranked: bool
+        self,
+        server: Server,
+        rows: dict[str, tuple[str, float, int, bool]],
+        weight: float,
+        ranked: bool,
+        own: float,
     ) -> None:
         tier = 1 if server.backup and ranked else 0
         name, row = f"{server.address}:{server.port}", server.directive
@@ -485,7 +497,7 @@
             return
         if name in rows:
             old = rows[name]
-            rows[name] = (name, old[1] + weight, min(old[2], tier), old[3] and server.down)
+            rows[name] = (name, old[1] + own, min(old[2], tier), old[3] and server.down)
             self.tell(row, DIFFERS, f"{name} stands twice: one host with both weights")
             return
         known = self.hosts.get(name)
@@ -497,7 +509,7 @@
         if known is None:
             known = Listed(server.address, server.port, weight, tier, server.down)
             self.hosts[name] = known
-        rows[name] = (name, weight, tier, known.draining)
+        rows[name] = (name, own, tier, known.draining)
         self._tell_server(server)
 
     def _tell_server(self, server: Server) -> None:
--- a/willowhook/nginx/setup.py
+++ b/willowhook/nginx/setup.py
@@ -20,6 +20,7 @@
 URI_VARIABLES = ("$uri", "$request_uri", "$document_uri")
 RATE = re.compile(r"rate=(\d+)r/([sm])$")
 VARIABLE = re.compile(r"^\$\{?(\w+)\}?$")
+MOVED = (301, 302, 303, 307, 308)
 NOWHERE = At("-", 1, 1)
 AS_IT_CAME = ("$request_uri", "$uri$is_args$args", "$uri?$args")
 
@@ -239,7 +240,8 @@
                 if id(row) in self.faults:
                     made.unsafe = "where it passes calls to cannot be read"
             elif row.name == "return":
-                made.status = int(row.arg(0)) if row.arg(0).isdigit() and len(row.args) == 1 else 404
+                code = int(row.arg(0)) if row.arg(0).isdigit() and len(row.arg(0)) == 3 else 404
+                made.status = code if 200 <= code < 600 and code not in MOVED else 404
             elif row.name == "if" and _leads(row):
                 made.unsafe = f"the condition in line {row.place.line} sends some of its calls elsewhere"
             elif row.name == "rewrite" and row.arg(2) != "break":
--- a/willowhook/nginx/syntax.py
+++ b/willowhook/nginx/syntax.py
@@ -214,7 +214,8 @@
         try:
             data = self.read(path)
         except OSError as fault:
-            raise SyntaxFault(here, f"{path}: {fault.strerror or fault}") from fault
+            cause = fault.strerror or str(fault)
+            raise SyntaxFault(here, cause if at is None else f"{path}: {cause}") from fault
         self.size += len(data)
         if self.size > MOST_BYTES:
             raise SyntaxFault(here, f"more than {MOST_BYTES} bytes in all")
--- a/willowhook/nginx/verdicts.py
+++ b/willowhook/nginx/verdicts.py
@@ -88,7 +88,11 @@
         for row in rows:
             fault = self._faults.get(id(row))
             if fault is not None:
-                what, why = REFUSED, fault.cause
+                at = fault.place
+                what, why = (
+                    REFUSED,
+                    fault.cause if at == row.place else f"{at.line}:{at.column}: {fault.cause}",
+                )
             else:
                 what, why = self._notes.get(id(row)) or self._by_table(row)
                 if lost and what in (CARRIED, DIFFERS):
@@ -107,7 +111,7 @@
         if row.name == "return":
             if len(row.args) == 1 and row.arg(0).isdigit():
                 return CARRIED, ""
-            return DIFFERS, "the path is closed, with 404 and without a text or another address"
+            return DIFFERS, "the path is closed, without a text; what is moved gets 404"
         if row.name == "random" and row.arg(0) != "two":
             return CARRIED, ""
         if row.name in TABLE:
--- a/willowhook/trial/nginx_check.py
+++ b/willowhook/trial/nginx_check.py
@@ -43,7 +43,7 @@
         for row in rows:
             if row.kind in ("~", "~*"):
                 flags = re.IGNORECASE if row.kind == "~*" else 0
-                if re.search(row.pattern, uri, flags):
+                if re.search(row.pattern.replace("(?<", "(?P<"), uri, flags):
                     return brute(row.inner, uri)[0] or row, True
     return remembered, False
 
