--- a/willowhook/cli/imports.py
+++ b/willowhook/cli/imports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import sys
 from pathlib import Path
@@ -68,6 +69,7 @@
     for each in (*mutating, *repeatable):
         if not each.startswith("/"):
             raise click.BadParameter(f"{each!r} is no path: it begins with /")
+    gc.disable()  # millions of small parts, all of them needed to the end of a short run
     asked = Asked(host, mutating, repeatable, _keyed(keyed), slo_ms, zone)
     try:
         loader, rows = Loader(), list[Directive]()
