Reports wait in a bounded queue, are sampled, aged and summed on their way to the decisions

Now each proxy has room for two, drawn evenly; a budget of reports a second and a slice of time; stretches that count once; late ones that fade; one call a host and zone a flush. Proxies are asked for a slower pace by the published interval. The sampling test found a bias of a third (the newest of a sample is not the newest of all), mended. Not measured yet.

--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,284 @@
+"""Reports on their way: each stretch counts once, late ones fade at the stated rate, samples are unbiased."""
+
+from __future__ import annotations
+
+import math
+import random
+import statistics
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from willowhook.reports.budget import LOOK, Budget
+from willowhook.reports.fading import Fading, Sum
+from willowhook.reports.quarantine import LONG, ON_END, REST, Quarantine
+from willowhook.reports.queue import Queue
+from willowhook.reports.read import MOST_ROWS, Report, read
+from willowhook.reports.sample import whole
+from willowhook.reports.sums import Row, Sums, combined
+from willowhook.reports.windows import BACK, Windows
+from willowhook.xds import forms
+from willowhook.xds.codec import FormError
+
+SECOND = 10_000
+HALF = 2 * SECOND
+
+
+# Fading.
+
+
+def by_hand(rows: list[tuple[int, int, float]], now: int) -> float:
+    """Each sum in a thousand parts, each at its own age."""
+    total = 0.0
+    for since, until, value in rows:
+        for k in range(1000):
+            at = since + (until - since) * (k + 0.5) / 1000
+            total += value / 1000 * 2 ** (-(now - at) / HALF)
+    return total
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 99_999), st.integers(1, 20_000), st.floats(0.1, 1e4)), min_size=1, max_size=8
+    ),
+    st.randoms(use_true_random=False),
+)  # fmt: skip
+def test_faded_sums_are_those_of_a_replay_in_any_order(
+    rows: list[tuple[int, int, float]], chance: random.Random
+) -> None:
+    fading, made = Fading(HALF), Sum(1)
+    windows = [(since + 200_000, since + 200_000 + length, value) for since, length, value in rows]
+    now = max(until for _, until, _ in windows) + chance.randrange(30_000)
+    chance.shuffle(windows)
+    clock = min(until for _, until, _ in windows)
+    for since, until, value in windows:  # each is heard when it is, some late, some very late
+        clock = min(max(clock, until) + chance.randrange(3000), now)
+        made.add(fading, max(clock, until), since, until, value)
+    assert math.isclose(made.total(fading, now)[0], by_hand(windows, now), rel_tol=1e-4)
+
+
+def test_the_stated_rate_is_the_measured_one() -> None:
+    for age in (0, HALF // 2, HALF, 3 * HALF):
+        heard: list[int] = []
+        sums = Sums(Fading(HALF), lambda host, zone, tries, *rest, told=heard: told.append(tries))
+        now = 100 * SECOND
+        sums.add(now, "z", now - age - 100, now - age, {("h", "r"): (1e6, 0.0, 0.0, 0.0)}, {})
+        sums.flush()
+        assert abs(heard[0] / 1e6 / 2 ** (-age / HALF) - 1) < 0.001
+
+
+# Windows.
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 60), st.integers(1, 8), st.sampled_from("ab")), min_size=1, max_size=25
+    ),
+    st.integers(-1_000_000, 1_000_000),
+)
+def test_every_moment_counts_once_whatever_comes_again(rows: list[tuple[int, int, str]], skew: int) -> None:
+    """Beside a replay that marks each tenth of a second; with few enough gaps that none is forgotten."""
+    windows, marked, now = Windows(), set[int](), 10_000_000
+    for since, length, process in rows:
+        now += 50
+        cells = set(range(since, since + length))
+        new = len(cells - marked) / length
+        marked |= cells
+        since_t, until_t = 5_000_000 + skew + since * 1000, 5_000_000 + skew + (since + length) * 1000
+        covered = windows.told(now, "p", process, since_t, until_t)
+        assert math.isclose(covered.part, new, abs_tol=1e-9)
+
+
+def test_a_report_that_comes_again_after_a_restart_counts_for_nothing() -> None:
+    windows = Windows()
+    assert windows.told(100_000, "p", "one", 40_000, 50_000).part == 1
+    assert windows.told(110_000, "p", "one", 50_000, 60_000).part == 1
+    for process in ("one", "two", ""):
+        assert windows.told(111_000, "p", process, 50_000, 60_000).part == 0
+        assert windows.told(111_000, "p", process, 40_000, 50_000).part == 0
+    assert windows.told(111_000, "p", "two", 55_000, 65_000).part == 0.5
+    assert windows.repeats == 6
+    assert windows.untold(1, "q", 5000, 77).part == 1 and windows.untold(2, "q", 5000, 77).part == 0
+
+
+def test_lateness_is_told_from_clocks_that_differ() -> None:
+    windows = Windows()
+    assert windows.told(1_000_000, "p", "a", 2_000_000, 2_005_000).until == 1_000_000
+    late = windows.told(1_035_000, "p", "a", 2_005_000, 2_010_000)
+    assert late.until == 1_005_000 + 3  # three seconds late, but for the drift that is allowed for
+    windows.told(1_040_000, "p", "a", 2_010_000, 2_015_000)
+    assert windows.told(1_045_000, "p", "b", 2_015_000, 2_020_000).until == 1_045_000
+
+
+def test_a_clock_that_was_set_back_is_told_from_old_reports() -> None:
+    def play(step: int) -> Windows:
+        windows, now, at = Windows(), 1_000_000, 1_000_000
+        for _ in range(40):
+            windows.told(now, "p", "a", at - 5000, at)
+            now, at = now + 5000, at + 5000
+        at -= 190_000
+        for _ in range(60):
+            windows.told(now, "p", "a", at - 5000, at)
+            now, at = now + 5000, at + step
+        return windows
+
+    assert play(5000).clocks_set == 1 and BACK < 60 * 5000
+    assert play(0).clocks_set == 0 and play(0).repeats == 60  # the same old one, again and again
+
+
+# Samples.
+
+
+def report(tries: int, since: int, length: int = 5000) -> Report:
+    row = Row({("h", "r"): (float(tries), 0.0, float(tries * 10))})
+    return Report(row, {"r": (float(tries), 0.0)}, length, "a", since, since + length)
+
+
+@pytest.mark.parametrize("k", [1, 2, 3, 5, 20, 100])
+def test_samples_are_unbiased_and_their_bars_hold(k: int) -> None:
+    chance = random.Random(k)
+    ratios, covered, rounds = [], 0, 120
+    for _ in range(rounds):
+        truth = estimate = variance = 0.0
+        for p in range(40):
+            queue, windows = Queue(chance.randrange), Windows()
+            whole(0, "p", windows, [(0, 0, report(0, 1_000_000 - 5000))], 1)
+            rows, mean = {}, 5 + 3 * p
+            for j in range(k):
+                made = report(max(0, round(chance.gauss(mean, math.sqrt(mean)))), 1_000_000 + 5000 * j)
+                truth += made.row.cells["h", "r"][0]
+                rows[b"%d" % j] = made
+                at = (j + 1) * 5000 + chance.randrange(400)  # on the way for a while
+                queue.offer(at, "p", b"%d" % j)
+            taken = queue.take(k * 5000)
+            assert taken is not None and taken.came == k and len(taken.rows) == min(k, 2)
+            sample = [(at, 0, rows[data]) for at, data in taken.rows]
+            got = whole(k * 5000, "p", windows, sample, taken.came, taken.span)
+            assert got is not None
+            estimate += got.cells["h", "r"][0]
+            variance += got.cells["h", "r"][3]
+        ratios.append(estimate / truth)
+        covered += abs(estimate - truth) <= 1.96 * math.sqrt(variance) + 1e-6
+    assert abs(statistics.mean(ratios) - 1) < 0.02
+    assert covered / rounds > (0.999 if k <= 2 else 0.92)
+
+
+def test_a_flood_of_copies_or_of_short_reports_does_not_swell_a_sum() -> None:
+    windows = Windows()
+    whole(0, "p", windows, [(0, 0, report(50, 0))], 1)
+    copy = report(50, 5000)
+    got = whole(5000, "p", windows, [(5000, 0, copy), (5000, 0, copy)], 400, 5000)
+    assert got is not None and got.cells["h", "r"][0] == 50
+    assert whole(6000, "p", windows, [(6000, 0, copy)], 100) is None
+    tenths = [(10_000, 0, report(5, 10_000 + 500 * k, 500)) for k in (3, 8)]
+    got = whole(15_000, "p", windows, tenths, 10, 5000)
+    assert got is not None and got.cells["h", "r"][0] <= 50
+
+
+def test_combined_of_one_alone_goes_by_its_count() -> None:
+    assert combined([Row({("h", "r"): (9.0, 0.0, 0.0)})], 4.0) == {("h", "r"): (36.0, 0.0, 0.0, 108.0)}
+
+
+# The queue.
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.one_of(st.sampled_from("abcd"), st.just("take"), st.just("gone")), max_size=80))
+def test_nobody_waits_twice_and_memory_is_bounded(steps: list[str]) -> None:
+    queue, waiting = Queue(random.Random(1).randrange), dict[str, int]()
+    for now, step in enumerate(steps):
+        if step == "take":
+            taken = queue.take(now)
+            assert (taken is None) == (not waiting)
+            if taken is not None:
+                assert waiting.pop(taken.proxy) == taken.came >= len(taken.rows)
+        elif step == "gone":
+            queue.forget("a")
+            waiting.pop("a", None)
+        else:
+            queue.offer(now, step, b"x" * 10)
+            waiting[step] = waiting.get(step, 0) + 1
+        assert len(queue) == len(waiting) and queue.bytes <= 20 * len(waiting)
+
+
+def test_heavier_proxies_are_looked_at_sooner_and_the_lightest_too() -> None:
+    queue, served = Queue(random.Random(1).randrange), dict.fromkeys("abc", 0)
+    for name in "abc":
+        queue.offer(0, name, b"")
+    while queue.take(0):
+        pass
+    queue.weigh("a", 4.0)
+    queue.weigh("c", 0.01)
+    for now in range(3000):
+        for name in "abc":
+            queue.offer(now, name, b"")
+        taken = queue.take(now)
+        if taken:
+            served[taken.proxy] += 1
+    assert served["a"] > 1.5 * served["b"] > 2 * served["c"] > 0
+
+
+# Budget and quarantine.
+
+
+def test_more_than_fits_slows_proxies_down_and_room_brings_them_back() -> None:
+    told: list[int] = []
+    budget = Budget(100, 5000, 40_000, told.append)
+    assert sum(budget.spend(SECOND, 1) for _ in range(50)) == 10
+    assert sum(budget.spend(SECOND + k, 1) for k in range(SECOND)) in (99, 100, 101)
+    budget.look(0, 150, 40)
+    assert told == [6250]  # faster than they should be: one step
+    budget.look(0, 400, 200)
+    assert told[-1] == 25_000
+    for k in range(60):
+        budget.look(k * LOOK, 10, 10)
+    assert told[-1] == 5000 and told[1:] == sorted(told[1:], reverse=True)
+    budget.look(0, 400, 100_000)
+    assert told[-1] == 40_000
+
+
+class Told:
+    def __init__(self) -> None:
+        self.rows: list[tuple[Any, ...]] = []
+
+    def quarantined(self, proxy: str, rest: int, cause: str, evidence: bytes) -> None:
+        self.rows.append((proxy, rest, cause, evidence))
+
+    def released(self, proxy: str) -> None:
+        self.rows.append((proxy,))
+
+
+def test_a_proxy_that_is_bad_rests_longer_each_time_and_is_released() -> None:
+    told = Told()
+    quarantine, now = Quarantine(told), 0
+    for k in range(ON_END):
+        assert not quarantine.rests(now, "p")
+        quarantine.bad(now, "p", f"bad {k}", b"\xff" * 500)
+    assert quarantine.rests(now, "p") and told.rows == [("p", REST, "bad 2", b"\xff" * 200)]
+    now += REST
+    quarantine.look(now)
+    assert not quarantine.rests(now, "p") and told.rows[-1] == ("p",)
+    quarantine.bad(now, "p", "again", b"")
+    assert told.rows[-1][1] == 2 * REST and not quarantine.rests(now, "other")
+    now += 2 * REST
+    quarantine.rests(now, "p")
+    quarantine.good(now + LONG, "p")
+    quarantine.bad(now + LONG, "p", "once", b"")
+    assert not quarantine.rests(now + LONG, "p")
+
+
+def test_a_report_is_bounded_and_its_times_are_checked() -> None:
+    at = forms.Address(forms.SocketAddress("127.0.0.1", 81))
+    rows = [forms.UpstreamEndpointStats(at, 1)] * (MOST_ROWS + 1)
+    zone = forms.UpstreamLocalityStats(upstream_endpoint_stats=rows)
+    made = forms.LoadStatsRequest(cluster_stats=[forms.ClusterStats("r@t", "", [zone], 0, [], "1s")])
+    with pytest.raises(FormError, match="more than 5000 endpoints"):
+        read(made, frozenset("r"))
+    for times, cause in (((5, 4), "load_from is 5"), (("x", 4), "no numbers"), ((0, 1e13), "load_until 1e")):
+        node = forms.Node(metadata={"load_from": times[0], "load_until": times[1]})
+        with pytest.raises(FormError, match=cause):
+            read(forms.LoadStatsRequest(node), frozenset())
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -190,6 +190,13 @@
     cache_bytes: Annotated[int, Meta(ge=0, le=1 << 34)] = 64 << 20
 
 
+class IntakeTerms(Part, frozen=True, kw_only=True):
+    """How reports of proxies are taken in; the rate is `fleet.reports_per_s`."""
+
+    half_life_ms: Positive = 2000  # what comes so much too late counts half
+    slice_ms: Positive = 4  # looked at on end, before decisions have their turn
+
+
 class StoreTerms(Part, frozen=True, kw_only=True):
     """What a director keeps for its next life; without a folder nothing."""
 
@@ -228,3 +235,4 @@
     rollout: RolloutTerms = RolloutTerms()
     front: FrontTerms = FrontTerms()
     store: StoreTerms = StoreTerms()
+    intake: IntakeTerms = IntakeTerms()
--- a/willowhook/director/intake.py
+++ b/willowhook/director/intake.py
@@ -6,23 +6,24 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import xxhash
+
 from ..files.layout import LOAD, PROXY_NAME, STATUS
 from ..membership.claim import VersionError, names_me, read_version
 from ..membership.wheel import Wheel
+from ..reports.read import Report, read
+from ..reports.sample import Whole, whole
+from ..reports.windows import Windows
 from ..xds import forms
-from ..xds.codec import FormError, decode, read_response, seconds
-from ..xds.orca import load
+from ..xds.codec import FormError, decode, read_response
 from .render import Held, read_held
 
 SECOND = 10_000
 REQUESTS = {name + ".json": name for name in forms.FILES}
-LATENCY = "latency_seconds"  # the named metric in which a proxy sums the time of what was answered
-MOST_CALLS = 1e9  # of one report; more is no count
 MOST_PROXIES = 65_535
 
 
@@ -35,16 +36,7 @@
     def left(self, proxy: int, name: str, why: str) -> None: ...
     def applied(self, proxy: int, number: int) -> None: ...
     def refused(self, proxy: int, kind: str, number: int, cause: str) -> None: ...
-    def heard(
-        self,
-        proxy: int,
-        address: str,
-        tries: int,
-        errors: int,
-        mean: int,
-        window: int,
-        told: dict[str, float],
-    ) -> None: ...
+    def met(self, proxy: int, whole: Whole) -> None: ...
     def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None: ...
     def fault(self, name: str, cause: str) -> None: ...
 
@@ -74,6 +66,7 @@
         self._bad: dict[str, str] = {}  # by proxy: the file that was last found bad
         self._overdue = Wheel(max(lost_after // 20, 1), 64, 0)
         self._newest = newest
+        self.windows = Windows()
         self.last_fault = ""  # why the last that was found bad was so
 
     def appeared(
@@ -153,10 +146,8 @@
                     return
                 self._request(presence, REQUESTS[file], request)
             elif file == LOAD:
-                report = decode(data, forms.LoadStatsRequest)
-                if not self._mine(now, presence, report.node):
-                    return
-                self._load(presence, report)
+                self.loads(now, name, [(now, data)], 1)
+                return
             elif file != STATUS:
                 raise FormError("no file of this name is known")
         except FormError as fault:
@@ -234,55 +225,37 @@
             presence.applied = number
             self._ear.applied(presence.number, number)
 
-    def _load(self, presence: Presence, report: forms.LoadStatsRequest) -> None:
-        """Sums of one period.  All of a report is checked before any of it counts."""
-        hosts: dict[str, list[float]] = {}  # address: answered, errors, latency sum, answered with latency
-        told: dict[str, dict[str, list[float]]] = {}
-        came = []
-        window = 0
-        for cluster in report.cluster_stats:
-            window = round(seconds(cluster.load_report_interval) * SECOND)
-            if not 0 < window <= 3600 * SECOND:
-                raise FormError(f"load_report_interval is {cluster.load_report_interval}")
-            sums = [0, 0]
-            for locality in cluster.upstream_locality_stats:
-                for row in locality.upstream_endpoint_stats:
-                    good, bad = row.total_successful_requests, row.total_error_requests
-                    if not (0 <= good < MOST_CALLS and 0 <= bad < MOST_CALLS):
-                        raise FormError(f"{cluster.cluster_name}: {good} answered and {bad} errors")
-                    at = row.address.socket_address
-                    if at is None:
-                        raise FormError(f"{cluster.cluster_name}: an endpoint has no address")
-                    address = f"{at.address}:{at.port_value}"
-                    mine = hosts.setdefault(address, [0, 0, 0.0, 0])
-                    mine[0] += good
-                    mine[1] += bad
-                    sums[0] += good
-                    sums[1] += bad
-                    for metric in row.load_metric_stats:
-                        n, total = metric.num_requests_finished_with_metric, metric.total_metric_value
-                        if not (0 <= n < MOST_CALLS and math.isfinite(total) and abs(total) < 1e12):
-                            raise FormError(
-                                f"{cluster.cluster_name}: {metric.metric_name} of {total} over {n}"
-                            )
-                        if metric.metric_name == LATENCY:
-                            mine[2] += max(total, 0.0)
-                            mine[3] += n
-                        elif n:
-                            pair = told.setdefault(address, {}).setdefault(metric.metric_name, [0.0, 0.0])
-                            pair[0] += total
-                            pair[1] += n
-            dropped = cluster.total_dropped_requests
-            if not 0 <= dropped < MOST_CALLS:
-                raise FormError(f"{cluster.cluster_name}: {dropped} dropped")
-            route = cluster.cluster_name.partition("@")[0]
-            if route in self._routes:
-                came.append((route, sums[0] + sums[1] + dropped, sums[1]))
-        for address, (answered, failed, spent, timed) in hosts.items():
-            mean = round(spent / timed * SECOND) if timed else 0
-            loads = {name: total / n for name, (total, n) in told.get(address, {}).items()}
-            args = (address, int(answered + failed), int(failed), mean, window, load(loads))
-            if answered + failed:
-                self._ear.heard(presence.number, *args)
-        for route, calls, errors in came:
-            self._ear.came(presence.number, route, calls, errors, window)
+    def loads(
+        self, now: int, name: str, rows: Sequence[tuple[int, bytes]], came: int, span: int = -1
+    ) -> list[tuple[str, bytes]]:
+        """Reports of one proxy, and when each came: all `came` of them, or two drawn of these.  Gives what
+        was bad, with the cause.
+        """
+        presence, good = self.present.get(name), list[tuple[int, int, Report]]()
+        bad: list[tuple[str, bytes]] = []
+        if presence is None:
+            return []
+        for at, data in rows:
+            try:
+                report = decode(data, forms.LoadStatsRequest)
+                if not self._mine(now, presence, report.node):
+                    if name not in self.present:  # it has left, by its own word
+                        return bad
+                    continue
+                good.append((at, xxhash.xxh64_intdigest(data), read(report, self._routes)))
+            except FormError as fault:
+                bad.append((str(fault), data))
+                self._found_bad(name, LOAD, str(fault))
+        if good and not bad and self._bad.get(name) == LOAD:
+            del self._bad[name]
+        if not good:
+            return bad
+        presence.heard_at = now
+        self._overdue.set(name, now + self._lost_after + 1)
+        made = whole(now, name, self.windows, good, came, span)
+        if made is not None:
+            if made.cells:
+                self._ear.met(presence.number, made)
+            for route, (calls, errors) in made.came.items():
+                self._ear.came(presence.number, route, round(calls), round(errors), made.window)
+        return bad
--- a/willowhook/director/links.py
+++ b/willowhook/director/links.py
@@ -14,10 +14,10 @@
 
 from ..config.terms import LinkTerms
 from ..membership.handoff import Hint, Packet, Sums
+from ..reports.read import LATENCY
 from ..web.wire import Broken, Call, Caller, Reply, answer_calls, dial
 from ..xds import forms
 from ..xds.codec import FormError, decode, encode, seconds
-from .intake import LATENCY
 
 SECOND = 10_000
 PATH = b"/v3/handoff"
--- a/willowhook/director/proxy_feed.py
+++ b/willowhook/director/proxy_feed.py
@@ -14,6 +14,7 @@
 from ..files.swap import read_at, read_group
 from ..files.watch import Watch
 from .intake import REQUESTS, Intake
+from .report_desk import ReportDesk
 
 UP_FILES = (STATUS, *REQUESTS, LOAD)
 
@@ -23,8 +24,9 @@
 
     def __init__(
         self, folder: Folder, ops: FileOps, watch: Watch, most: int, intake: Intake,
-        send: trio.MemorySendChannel[Callable[[int], None]],
+        send: trio.MemorySendChannel[Callable[[int], None]], reports: ReportDesk, clock: Callable[[], int],
     ) -> None:  # fmt: skip
+        self._reports, self._clock = reports, clock
         self._up, self._down, self._ops, self._watch, self._most = folder.up, folder.down, ops, watch, most
         self._intake, self._send = intake, send
         self._stays: dict[str, tuple[int, ...]] = {}  # of the proxies that are here
@@ -51,8 +53,13 @@
             await self._came(name)  # it had been given up, or had not shown itself whole
             return
         for each in [file] if file else UP_FILES:
+            if each == LOAD and self._reports.aside(name):
+                continue
             data = await self._read(name, each)
-            if data is not None:
+            if data is not None and each == LOAD:
+                self._reports.offer(self._clock(), name, data)
+                await trio.lowlevel.checkpoint()  # of a thousand files none holds up the decisions
+            elif data is not None:
                 await self._send.send(partial(self._swapped, name, each, data))
 
     def _swapped(self, name: str, file: str, data: bytes, now: int) -> None:
@@ -72,6 +79,8 @@
             return None
         except OSError as fault:
             cause = str(fault)
+            if file == LOAD:
+                self._reports.unreadable(self._clock(), name, cause)
             await self._send.send(lambda now: self._intake.unreadable(name, file, cause))
             return None
 
--- a/willowhook/director/publish.py
+++ b/willowhook/director/publish.py
@@ -94,6 +94,9 @@
         self._retry_at = 0
         self._open: dict[int, None] = {}  # readers with something unsent, held, or unanswered
 
+    def now(self) -> int:
+        return self._ear.now()
+
     # Who reads.
 
     def joined(self, reader: Reader) -> None:
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import os
+import random
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -19,21 +21,22 @@
 
 from ..config.facts import facts, ticks
 from ..config.terms import Terms
-from ..files.layout import DRAIN, Folder
+from ..files.layout import DRAIN, PACE, Folder
 from ..files.ops import DiskOps, FileOps, remove
-from ..files.swap import Shelf
+from ..files.swap import Shelf, swap_file
 from ..files.watch import Watch, open_watch
 from ..membership.handoff import Hint, Listener, Packet, Teller
 from ..membership.tiers import Tiers
 from ..records.writer import Records
+from ..reports.sample import Whole
 from ..roster.forms import Host
 from ..rules import Director
 from ..state import Ring
 from ..store.store import StoreError
 from ..versions.core import Core, first_era
 from ..web.wire import Broken, Caller, dial
-from ..xds import orca
-from ..xds.codec import FormError
+from ..xds import forms, orca
+from ..xds.codec import FormError, encode
 from .book import Message, OrderBook
 from .intake import Intake
 from .links import Post, listen, read, write
@@ -43,6 +46,7 @@
 from .proxy_feed import ProxyFeed
 from .publish import Publisher, Reader
 from .render import Address, Held, Renderer
+from .report_desk import ReportDesk
 from .web_feed import WebFeed
 
 SECOND = 10_000
@@ -125,6 +129,7 @@
         self._reshow = False  # a tier was let in or held: the list must be shown again
         self._by_address: dict[str, str] = {}
         self._joins = 0
+        self._worth = {route.name: route.importance for route in terms.routes}
         self._route_at = {route.name: k for k, route in enumerate(terms.routes)}
         self._terms_of: dict[int, int] = {}  # of each proxy's stay
         self._draining = False
@@ -146,6 +151,8 @@
         """Raises FolderTaken or OSError if the folder cannot be had."""
         terms = self.terms
         self.folder.open()
+        with contextlib.suppress(FileNotFoundError):
+            self.ops.unlink(f"{self.folder.path}/{PACE}")  # of a life before
         self._watch: Watch = open_watch(terms.files.watch, terms.files.poll_every_ms / 1000)
         epoch = self.folder.epoch
         self.renderer = Renderer(terms, epoch)
@@ -167,11 +174,23 @@
         self.intake = Intake(
             self, terms.name, epoch, routes, ticks(terms.files.proxy_lost_after_ms), lambda: self.book.count
         )
+        self.reports = ReportDesk(
+            terms.intake, terms.fleet.reports_per_s, ticks(terms.fleet.report_every_ms),
+            ticks(terms.files.proxy_lost_after_ms), self, self.intake,
+            self._hand_sums, self.records, self.log, random.Random(terms.seed * 1000 + epoch).randrange,
+        )  # fmt: skip
         self.web: WebFeed | None = None
         if terms.front.listen:
             report_s = terms.fleet.report_every_ms / 1000
             self.web = WebFeed(
-                terms.name, terms.front, report_s, self.core, self.publisher, self.intake, self._send.send
+                terms.name,
+                terms.front,
+                report_s,
+                self.core,
+                self.publisher,
+                self.intake,
+                self._send.send,
+                self.reports,
             )
         self.lists = ListFeed(terms, self.folder.path, self.ops, self._mode, self._hand_list, self._hand_loss)
         now = self.clock.now()
@@ -180,7 +199,9 @@
         self.records.note(now, "started", director=terms.name, epoch=epoch, wall=time.time())
         self._listed(self.clock.now(), self.lists.last())
         most = terms.files.largest_report_bytes
-        self.proxies = ProxyFeed(self.folder, self.ops, self._watch, most, self.intake, self._send)
+        self.proxies = ProxyFeed(
+            self.folder, self.ops, self._watch, most, self.intake, self._send, self.reports, self.clock.now
+        )
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -257,12 +278,14 @@
     # Decisions: one task calls the module.
 
     async def _decide(self) -> None:
-        last_look = 0
+        last_look, more = 0, False
         self._decided_at = self.clock.now()
         self.director.moment_over(self._decided_at)  # the first moment: it may want the list
         while True:
             now = self.clock.now()
             due = self._timers[0][0] if self._timers else now + SECOND
+            if len(self.reports.queue):  # what could not be looked at yet: as soon as there is room
+                due = now if more else min(due, now + SECOND // 100)
             events: list[Event] = []
             with trio.move_on_after(max(due - now, 0) / SECOND):
                 events.append(await self._receive.receive())
@@ -274,6 +297,8 @@
             now = self._decided_at = self.clock.now()
             for event in events:
                 event(now)
+            more = self.reports.work()
+            self.reports.look(now, len(self.book.members))
             if now - last_look >= SECOND // 10:
                 self.tiers.look(now)
             if self._reshow:
@@ -460,6 +485,7 @@
 
     def left(self, proxy: int, name: str, why: str) -> None:
         now = self.clock.now()
+        self.reports.forget(name)
         self._tell_peers(now, proxy, name)
         web = self.publisher.readers[proxy].web
         self.publisher.left(proxy)
@@ -540,32 +566,60 @@
             self.director.hosts_heard(now, host, zone, tries, errors, mean, hint.window, {})
         self.records.note(now, "hint", proxy=name, term=hint.term, hosts=len(hint.hosts))
 
-    def heard(
-        self,
-        proxy: int,
-        address: str,
-        tries: int,
-        errors: int,
-        mean: int,
-        window: int,
-        told: dict[str, float],
-    ) -> None:
-        host = self._by_address.get(address)
-        if host is not None:
-            zone = self.book.members[proxy].zone
-            self.publisher.rollout.met(self.clock.now(), proxy, tries, errors)
-            self.tiers.heard(self.clock.now(), host, tries, errors)
+    def met(self, proxy: int, whole: Whole) -> None:
+        """What a proxy met with hosts, of all its reports of a stretch."""
+        now, member = self.clock.now(), self.book.members.get(proxy)
+        if member is None:
+            return
+        zone, cells = member.zone, {}
+        by_host: dict[str, list[float]] = {}
+        for (address, route), row in whole.cells.items():
+            host = self._by_address.get(address)
+            if host is not None:
+                cells[host, route] = row
+                sums = by_host.setdefault(host, [0.0, 0.0, 0.0])
+                for k in range(3):
+                    sums[k] += row[k]
+        loads = {self._by_address[at]: told for at, told in whole.loads.items() if at in self._by_address}
+        self.reports.sums.add(now, zone, whole.since, whole.until, cells, loads)
+        tries, errors = (sum(sums[k] for sums in by_host.values()) for k in (0, 1))
+        self.publisher.rollout.met(now, proxy, round(tries), round(errors))
+        for host, (came, failed, spent) in by_host.items():
+            self.tiers.heard(now, host, round(came), round(failed))
             if self.memory is not None:
-                self.memory.met(self.clock.now(), host, zone, tries, errors, mean)
+                mean = round(spent / (came - failed)) if came > failed else 0
+                self.memory.met(now, host, zone, round(came), round(failed), mean)
             if self._posts:
                 ring = self._met.setdefault(proxy, {}).get(host)
                 if ring is None:
                     ring = self._met[proxy][host] = Ring(SECOND, MET_BUCKETS, 3)
-                ring.add(self.clock.now(), tries, errors, mean * (tries - errors))
-            self.director.hosts_heard(self.clock.now(), host, zone, tries, errors, mean, window, told)
+                ring.add(now, came, failed, spent)
+
+    def _hand_sums(
+        self, host: str, zone: str, tries: int, errors: int, mean: int, window: int, load: dict[str, float]
+    ) -> None:
+        self.director.hosts_heard(self.clock.now(), host, zone, tries, errors, mean, window, load)
+
+    def wake_up(self) -> None:
+        """The deciding task has something to do, if it has nothing else."""
+        with contextlib.suppress(trio.WouldBlock):  # it has
+            self._send.send_nowait(lambda now: None)
+
+    def ask_every(self, interval: int) -> None:
+        """How often proxies are to report, where they read it: by calls, and in one file for all others."""
+        if self.web is not None:
+            self.web.ask_every(interval / SECOND)
+        said = encode(forms.LoadStatsResponse(True, f"{interval / SECOND:.3f}s"))
+        try:
+            swap_file(self.ops, self.folder.path, PACE, said)
+        except OSError as fault:
+            self._mode("pace", True, "the pace of reports cannot be told", cause=str(fault))
+        else:
+            self._mode("pace", False, "the pace of reports can be told again")
 
     def came(self, proxy: int, route: str, calls: int, dropped: int, window: int) -> None:
         self.director.calls_came(self.clock.now(), proxy, route, calls, dropped, window)
+        self.reports.weigh(self._names[proxy], calls * SECOND / window * self._worth[route])
         self.publisher.tell_guard(self.watchman.came, proxy, self._route_at[route], calls * SECOND / window)
 
     def fault(self, name: str, cause: str) -> None:
--- a/willowhook/director/web_feed.py
+++ b/willowhook/director/web_feed.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import partial
 from typing import Any
 
 import trio
 
 from ..config.terms import FrontTerms
-from ..files.layout import LOAD, STATUS
+from ..files.layout import STATUS
 from ..front.bodies import Bodies
 from ..front.discovery import Discovery
 from ..front.identity import Bearer, CredentialError, Identity, Unproven
@@ -27,6 +26,7 @@
 from .outlets import WebOutlet
 from .publish import Publisher
 from .render import Held, uses
+from .report_desk import ReportDesk
 
 SECOND = 10_000
 Event = Callable[[int], None]
@@ -45,8 +45,9 @@
 class WebFeed:
     def __init__(
         self, name: str, terms: FrontTerms, report_s: float, core: Core, publisher: Publisher, intake: Intake,
-        send: Callable[[Event], Any],
+        send: Callable[[Event], Any], reports: ReportDesk,
     ) -> None:  # fmt: skip
+        self._reports = reports
         self._terms, self._core, self._publisher, self._intake = terms, core, publisher, intake
         self._send = send
         self._desks: dict[str, Desk] = {}
@@ -127,10 +128,10 @@
         return fault
 
     async def report(self, name: str, body: bytes) -> None:
-        await self._send(partial(self._reported, name, body))
+        self._reports.offer(self._publisher.now(), name, body)
 
-    def _reported(self, name: str, body: bytes, now: int) -> None:
-        self._intake.swapped(now, name, LOAD, body)
+    def ask_every(self, interval_s: float) -> None:
+        self.front.ask_every(interval_s)
 
     async def settled(self) -> None:
         events, self._events = self._events, []
--- a/willowhook/files/layout.py
+++ b/willowhook/files/layout.py
@@ -2,6 +2,7 @@
 
 FOLDER/lock                     held by the director; its time of change is the director's sign of life
 FOLDER/epoch                    how many directors started here
+FOLDER/pace.json                how often proxies are to report, if not as by themselves
 FOLDER/list                     the last list of hosts that the roster gave
 FOLDER/down/PROXY/current/      cds.json eds.json rds.json: what the director tells the proxy
 FOLDER/up/PROXY/                cds.json eds.json rds.json load.json status.json: what the proxy tells
@@ -20,6 +21,7 @@
 
 LOCK, EPOCH, LIST, DRAIN, DOWN, UP = "lock", "epoch", "list", "drain", "down", "up"
 LOAD, STATUS = "load.json", "status.json"
+PACE = "pace.json"  # how often proxies are to report, in the published form of that answer
 PROXY_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}\Z")
 
 
--- a/willowhook/front/discovery.py
+++ b/willowhook/front/discovery.py
@@ -213,6 +213,10 @@
         add, drop = tuple(asked.resource_names_subscribe), tuple(asked.resource_names_unsubscribe)
         return Ask(kind, False, first, "", holds, asked.response_nonce, error, add, drop)
 
+    def ask_every(self, interval_s: float) -> None:
+        """How often proxies are to report, from their next answer on."""
+        self._report_s = interval_s
+
     async def _report(self, line: Line, call: Call) -> Reply:
         wait = self._gate.asks(ticks(), line.proxy)
         if wait:
--- a/willowhook/trial/standin_link.py
+++ b/willowhook/trial/standin_link.py
@@ -19,7 +19,7 @@
 from ..files.swap import swap_file
 from ..web.wire import Broken, Caller, Reply, dial
 from ..xds import forms, tables
-from ..xds.codec import FormError, decode, encode
+from ..xds.codec import FormError, decode, encode, seconds
 from .notes import ticks
 
 if TYPE_CHECKING:
@@ -61,6 +61,7 @@
         self.why_over = ""
         self.scope: trio.CancelScope | None = None
         self.loads: bytes | None = None
+        self.report_s = 0.0  # how often its director wants reports
         self.heard_at = 0
 
     # What it holds.
@@ -323,7 +324,11 @@
                 if caller is None or not caller.usable:
                     caller = await self.dialled(caller, place)
                 with trio.fail_after(3.0):
-                    await caller.call(b"POST", LOADS, self.headers(), data)
+                    reply = await caller.call(b"POST", LOADS, self.headers(), data)
+                if reply.status == 200:
+                    self.report_s = seconds(
+                        decode(reply.body, forms.LoadStatsResponse).load_reporting_interval
+                    )
             except (Broken, trio.TooSlowError):
                 await self.closed(caller)
                 caller = None
