Reports: sums kept by a landmark, samples stand for time, a share of time as budget; trial flood

A sample stands for the time since the last known end, so what a proxy replaced before it was read is told too.

--- a/willowhook/cli/trial.py
+++ b/willowhook/cli/trial.py
@@ -412,3 +412,27 @@
     for line in done.lines():
         click.echo(line)
     sys.exit(0 if done.good else 1)
+
+
+@trial.command("flood")
+@click.option("--proxies", type=click.IntRange(8, 10_000), default=1000, show_default=True)
+@click.option("--hosts", type=click.IntRange(12, 1000), default=120, show_default=True)
+@click.option(
+    "--phase", "phase_s", type=click.FloatRange(2, 600), default=12.0, show_default=True, help="Seconds."
+)
+@click.option(
+    "--reports-per-s", "per_s", type=click.FloatRange(1, 100_000), default=1500.0, show_default=True
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--folder", type=click.Path(), default="")
+def flood_trial(proxies: int, hosts: int, phase_s: float, per_s: float, seed: int, folder: str) -> None:
+    """Proxies report steadily, all at once, ten times too often, some hostile: how long decisions take."""
+    import tempfile
+
+    from ..trial.flood import flood
+
+    root = Path(folder or tempfile.mkdtemp(prefix="willowhook-"))
+    done = flood(root / "flood", proxies, hosts, phase_s, per_s, click.echo, seed=seed)
+    for line in done.lines():
+        click.echo(line)
+    sys.exit(0 if done.good else 1)
--- a/willowhook/config/terms.py
+++ b/willowhook/config/terms.py
@@ -195,6 +195,7 @@
 
     half_life_ms: Positive = 2000  # what comes so much too late counts half
     slice_ms: Positive = 4  # looked at on end, before decisions have their turn
+    share: Annotated[float, Meta(gt=0, le=0.9)] = 0.3  # of all time that may go to looking at reports
 
 
 class StoreTerms(Part, frozen=True, kw_only=True):
--- a/willowhook/director/intake.py
+++ b/willowhook/director/intake.py
@@ -226,7 +226,7 @@
             self._ear.applied(presence.number, number)
 
     def loads(
-        self, now: int, name: str, rows: Sequence[tuple[int, bytes]], came: int, span: int = -1
+        self, now: int, name: str, rows: Sequence[tuple[int, bytes]], came: int
     ) -> list[tuple[str, bytes]]:
         """Reports of one proxy, and when each came: all `came` of them, or two drawn of these.  Gives what
         was bad, with the cause.
@@ -252,7 +252,7 @@
             return bad
         presence.heard_at = now
         self._overdue.set(name, now + self._lost_after + 1)
-        made = whole(now, name, self.windows, good, came, span)
+        made = whole(now, name, self.windows, good, came, not presence.web)
         if made is not None:
             if made.cells:
                 self._ear.met(presence.number, made)
--- a/willowhook/director/proxy_feed.py
+++ b/willowhook/director/proxy_feed.py
@@ -27,11 +27,20 @@
         send: trio.MemorySendChannel[Callable[[int], None]], reports: ReportDesk, clock: Callable[[], int],
     ) -> None:  # fmt: skip
         self._reports, self._clock = reports, clock
+        self._later: dict[str, int] = {}  # proxies whose report is read then
         self._up, self._down, self._ops, self._watch, self._most = folder.up, folder.down, ops, watch, most
         self._intake, self._send = intake, send
         self._stays: dict[str, tuple[int, ...]] = {}  # of the proxies that are here
         self._read_marks: dict[tuple[str, str], tuple[int, int]] = {}  # of the files read last
 
+    async def read_later(self) -> None:
+        while True:
+            await trio.sleep(0.05)
+            now = self._clock()
+            for name in [name for name, due in self._later.items() if due <= now]:
+                del self._later[name]
+                await self._news(name, LOAD)
+
     async def run(self) -> None:
         up, watch = self._up, self._watch
         watch.add(up, "")
@@ -53,8 +62,14 @@
             await self._came(name)  # it had been given up, or had not shown itself whole
             return
         for each in [file] if file else UP_FILES:
-            if each == LOAD and self._reports.aside(name):
-                continue
+            if each == LOAD:
+                if self._reports.aside(name):
+                    continue
+                now = self._clock()
+                if self._reports.due(now, name) > now:  # the newest will be there then too
+                    self._later.setdefault(name, self._reports.due(now, name))
+                    continue
+                self._reports.read(now, name)
             data = await self._read(name, each)
             if data is not None and each == LOAD:
                 self._reports.offer(self._clock(), name, data)
--- a/willowhook/director/report_desk.py
+++ b/willowhook/director/report_desk.py
@@ -13,7 +13,6 @@
 from ..config.terms import IntakeTerms
 from ..records.writer import Records
 from ..reports.budget import Budget
-from ..reports.fading import Fading
 from ..reports.quarantine import Quarantine
 from ..reports.queue import Queue
 from ..reports.sums import Heard, Sums
@@ -46,10 +45,11 @@
         self._came_before = 0
         self.queue = Queue(draw)
         # a proxy that reports less often than that is taken for lost
-        self.budget = Budget(per_s, every, lost_after * 2 // 5, self._pace)
+        self.budget = Budget(per_s, terms.share, every, lost_after * 2 // 5, self._pace)
         self.quarantine = Quarantine(self)
-        self.sums = Sums(Fading(round(terms.half_life_ms * 10)), heard)
+        self.sums = Sums(round(terms.half_life_ms * 10), heard)
         self.looked_at = self.handed = 0
+        self._read_at: dict[str, int] = {}  # when a proxy's file was read last
         self.spent_ns = 0
         self._mean_came = 1.0
 
@@ -67,19 +67,28 @@
         """Whether what this proxy puts in place need not be read."""
         return self.quarantine.rests(self._ear.now(), name)
 
+    def due(self, now: int, name: str) -> int:
+        """When what this proxy put in place may be read: no more than four times an asked interval."""
+        last = self._read_at.get(name)
+        return now if last is None else last + self.budget.interval // 4
+
+    def read(self, now: int, name: str) -> None:
+        self._read_at[name] = now
+
     def unreadable(self, now: int, name: str, cause: str) -> None:
         self.quarantine.bad(now, name, cause, b"")
 
     def forget(self, name: str) -> None:
         self.queue.forget(name)
         self.quarantine.forget(name)
+        self._read_at.pop(name, None)
         self._intake.windows.forget(name)
 
     # What is done with it.
 
     def work(self) -> bool:
         """Looks at what there is room for; whether some is left that could be looked at soon."""
-        began = time.perf_counter_ns()
+        began = last = time.perf_counter_ns()
         while len(self.queue):
             now = self._ear.now()
             if not self.budget.spend(now, 1):
@@ -88,14 +97,17 @@
             if taken is None:
                 break
             self.looked_at += len(taken.rows)
-            for cause, data in self._intake.loads(now, taken.proxy, taken.rows, taken.came, taken.span):
-                self.quarantine.bad(now, taken.proxy, cause, data)
-                break
+            bad = self._intake.loads(now, taken.proxy, taken.rows, taken.came)
+            if bad:
+                self.quarantine.bad(now, taken.proxy, *bad[0])
             else:
                 self.quarantine.good(now, taken.proxy)
-            if time.perf_counter_ns() - began > self._slice_ns:
+            end = time.perf_counter_ns()
+            self.budget.took((end - last) / 100_000)
+            last = end
+            if end - began > self._slice_ns:
                 break
-        self.spent_ns += time.perf_counter_ns() - began
+        self.spent_ns += last - began
         return len(self.queue) > 0
 
     def weigh(self, name: str, calls: float) -> None:
@@ -110,7 +122,8 @@
         if now - self._looked_at >= LOOK:
             span, self._looked_at = now - self._looked_at, now
             came, self._came_before = self.queue.came - self._came_before, self.queue.came
-            self.budget.look(now, came * SECOND / span, proxies)
+            each = self.spent_ns / 100_000 / self.looked_at if self.looked_at else 0.0
+            self.budget.look(now, came * SECOND / span, proxies, each)
             self.quarantine.look(now)
             self._records.note(
                 now, "intake", came=self.queue.came, dropped=self.queue.dropped, looked_at=self.looked_at,
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -213,6 +213,7 @@
                 if self.memory is not None:
                     nursery.start_soon(self.memory.run)
                 nursery.start_soon(self.proxies.run)
+                nursery.start_soon(self.proxies.read_later)
                 nursery.start_soon(self._decide)
                 for k in range(len(self._posts)):
                     first, lasts = SECOND // 5, ticks(terms.links.lasts_ms)
--- a/willowhook/front/serve.py
+++ b/willowhook/front/serve.py
@@ -37,6 +37,7 @@
     proxy: str = ""  # whose it is, once it has said so
     state: Any = None  # the protocol's own
     calls: int = 0
+    reported_at: int = -1  # when its last report was answered
 
 
 @dataclass(frozen=True, slots=True)
--- a/willowhook/reports/fading.py
+++ b/willowhook/reports/fading.py
@@ -10,6 +10,7 @@
 import math
 
 LN2 = math.log(2)
+FAR = 100  # half-lives until the landmark moves
 
 
 class Fading:
@@ -30,25 +31,29 @@
         return (self.of(younger) - self.of(older)) * self.half / (LN2 * (older - younger))
 
 
-class Sum:
-    """Several figures that fade together.  Times may come in any order."""
+class Landmark:
+    """Sums that fade together, kept as they will count at one far moment: adding is a multiplication by what
+    is the same for all figures of a report, and nothing is touched as time goes on (Cormode, Shkapenyuk,
+    Srivastava and Xu, Forward decay, 2009).
 
-    __slots__ = ("at", "values")
+    A figure `x` of a window is kept as `x * gain(since, until)`; `at(now)` times what is kept counts now.
+    """
 
-    def __init__(self, fields: int) -> None:
-        self.at, self.values = 0, [0.0] * fields
-
-    def add(self, fading: Fading, now: int, since: int, until: int, *values: float) -> None:
-        """What came evenly from `since` to `until`."""
-        if now > self.at:
-            factor = 2.0 ** (-(now - self.at) / fading.half) if self.at else 0.0
-            self.values = [value * factor for value in self.values]
-            self.at = now
-        # as it counts at the sum's own time, which may be after `now` where calls come out of order
-        share = fading.over(self.at - since, self.at - until)
-        for k, value in enumerate(values):
-            self.values[k] += value * share
-
-    def total(self, fading: Fading, now: int) -> list[float]:
-        factor = fading.of(now - self.at)
-        return [value * factor for value in self.values]
+    def __init__(self, half: int) -> None:
+        self._fading, self._half, self._mark = Fading(half), half, -1
+
+    def gain(self, since: int, until: int) -> float:
+        if self._mark < 0:
+            self._mark = until
+        lift = 2.0 ** ((until - self._mark) / self._half)
+        return float(lift * self._fading.over(until - since, 0))
+
+    def at(self, now: int) -> float:
+        return float(2.0 ** ((self._mark - now) / self._half)) if self._mark >= 0 else 0.0
+
+    def move(self, now: int) -> float:
+        """What all that is kept must be multiplied by now, so that no figure grows without end."""
+        if self._mark < 0 or now - self._mark < FAR * self._half:
+            return 1.0
+        factor, self._mark = self.at(now), now
+        return factor
--- a/willowhook/reports/queue.py
+++ b/willowhook/reports/queue.py
@@ -24,8 +24,6 @@
     rows: list[tuple[int, bytes]] = field(default_factory=list)  # when it came, the report
     came: int = 0  # since it was last served
     first: int = 0  # when the first of these came
-    last: int = 0  # and the last
-    before: int = -1  # the last of those that were served before
     deficit: float = 0.0
     share: float = 1.0
     heard: bool = False  # ever
@@ -37,7 +35,6 @@
     rows: tuple[tuple[int, bytes], ...]
     came: int  # of so many these are a sample
     waited: int
-    span: int  # in which they came, from the last that was served before; -1 if none was
 
 
 class Queue:
@@ -61,7 +58,6 @@
             held = self._held[proxy] = Held()
         self.came += 1
         held.came += 1
-        held.last = now
         if held.came == 1:
             held.first = now
             (self._turn if held.heard else self._first).append(proxy)
@@ -91,9 +87,7 @@
 
     def _serve(self, now: int, proxy: str) -> Taken:
         held = self._held[proxy]
-        span = held.last - held.before if held.before >= 0 else -1
-        taken = Taken(proxy, tuple(held.rows), held.came, now - held.first, span)
-        held.before = held.last
+        taken = Taken(proxy, tuple(held.rows), held.came, now - held.first)
         self.bytes -= sum(len(data) for _, data in held.rows)
         held.rows, held.came, held.heard = [], 0, True
         return taken
--- a/willowhook/reports/read.py
+++ b/willowhook/reports/read.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 
 from ..xds import forms
@@ -13,6 +12,7 @@
 SECOND = 10_000
 LATENCY = "latency_seconds"  # the named metric in which a proxy sums the time of what was answered
 MOST_CALLS = 1e9  # of one report; more is no count
+MOST_SUM = 1e12
 MOST_ROWS = 5_000  # endpoints of one report, over all clusters
 LONGEST_S = 3600
 
@@ -47,7 +47,7 @@
     made, rows = Report(), 0
     _times(made, report.node)
     spent: dict[tuple[str, str], list[float]] = {}  # answered, errors, time, answered with a time
-    told: dict[str, dict[str, list[float]]] = {}
+    told: dict[tuple[str, str], list[float]] = {}
     for cluster in report.cluster_stats:
         made.length = round(seconds(cluster.load_report_interval) * SECOND)
         if not 0 < made.length <= LONGEST_S * SECOND:
@@ -67,13 +67,27 @@
                 if at is None:
                     raise FormError(f"{cluster.cluster_name}: an endpoint has no address")
                 address = f"{at.address}:{at.port_value}"
-                mine = spent.setdefault((address, route), [0, 0, 0.0, 0])
+                mine = spent.get((address, route))
+                if mine is None:
+                    mine = spent[address, route] = [0, 0, 0.0, 0]
                 mine[0] += good
                 mine[1] += bad
                 calls += good + bad
                 errors += bad
                 for metric in row.load_metric_stats:
-                    _metric(cluster.cluster_name, address, metric, mine, told)
+                    name, n = metric.metric_name, metric.num_requests_finished_with_metric
+                    total = metric.total_metric_value
+                    if not (0 <= n < MOST_CALLS and -MOST_SUM < total < MOST_SUM):
+                        raise FormError(f"{cluster.cluster_name}: {name} of {total} over {n}")
+                    if name == LATENCY:
+                        mine[2] += max(total, 0.0)
+                        mine[3] += n
+                    elif n:
+                        pair = told.get((address, name))
+                        if pair is None:
+                            pair = told[address, name] = [0.0, 0.0]
+                        pair[0] += total
+                        pair[1] += n
         dropped = cluster.total_dropped_requests
         if not 0 <= dropped < MOST_CALLS:
             raise FormError(f"{cluster.cluster_name}: {dropped} dropped")
@@ -84,22 +98,8 @@
         if answered + failed:
             time = took / timed * answered * SECOND if timed else 0.0
             made.row.cells[address, route] = (answered + failed, failed, time)
-    for address, metrics in told.items():
-        made.row.loads[address] = load({name: total / n for name, (total, n) in metrics.items()})
+    means: dict[str, dict[str, float]] = {}
+    for (address, name), pair in told.items():
+        means.setdefault(address, {})[name] = pair[0] / pair[1]
+    made.row.loads = {address: load(rows_) for address, rows_ in means.items()}
     return made
-
-
-def _metric(
-    cluster: str, address: str, metric: forms.LoadMetricStats, mine: list[float],
-    told: dict[str, dict[str, list[float]]],
-) -> None:  # fmt: skip
-    n, total = metric.num_requests_finished_with_metric, metric.total_metric_value
-    if not (0 <= n < MOST_CALLS and math.isfinite(total) and abs(total) < 1e12):
-        raise FormError(f"{cluster}: {metric.metric_name} of {total} over {n}")
-    if metric.metric_name == LATENCY:
-        mine[2] += max(total, 0.0)
-        mine[3] += n
-    elif n:
-        pair = told.setdefault(address, {}).setdefault(metric.metric_name, [0.0, 0.0])
-        pair[0] += total
-        pair[1] += n
--- a/willowhook/reports/sample.py
+++ b/willowhook/reports/sample.py
@@ -9,7 +9,7 @@
 from .sums import Row, combined
 from .windows import Covered, Windows
 
-SLACK = 1.25
+LONGEST = 120 * 10_000  # of a stretch that a sample stands for
 Cells = dict[tuple[str, str], tuple[float, float, float, float]]
 
 
@@ -26,20 +26,17 @@
 
 
 def whole(
-    now: int,
-    proxy: str,
-    windows: Windows,
-    reports: Sequence[tuple[int, int, Report]],
-    came: int,
-    span: int = -1,
+    now: int, proxy: str, windows: Windows, reports: Sequence[tuple[int, int, Report]], came: int, gaps: bool
 ) -> Whole | None:
     """`reports`: when each came, a hash of its bytes, itself: all that came, or two drawn of them.  None if
-    none of it is new.
+    none of it is new.  `gaps`: some may have been replaced in their place before they were read.
 
-    Each stands for `came` over their number, but all of them for no more time than that in which they came
-    (`span`, -1 if that is not known): of a flood of copies only one counts, and a report of a tenth of the
-    usual time counts a tenth.
+    A proxy that tells its times begins each report where the last one ended.  So where some were dropped or
+    replaced, it reported all the time from the latest end known before to the latest of these: the sample
+    stands for that time, and a copy for none.  What came after it is told by the next.  Of proxies that tell
+    no times each stands for `came` over their number.
     """
+    process, before = windows.before(proxy)
     kept: list[tuple[Report, Covered]] = []
     for at, content, report in sorted(reports, key=lambda row: (row[2].until, row[0])):
         if report.until >= 0:
@@ -51,10 +48,17 @@
     if not kept:
         return None
     looked_at = sum((covered.until - covered.since) * covered.part for _, covered in kept)
-    factor = came / len(reports)
-    # reports come early and late; what is far over the time that has passed is copies, or covers less time
-    if span >= 0 and factor > 1 and factor > SLACK * span / max(looked_at, 1.0):
-        factor = max(1.0, span / max(looked_at, 1.0))
+    told = [report for report, _ in kept if report.until >= 0]
+    if not told:
+        factor = came / len(reports)
+    elif before >= 0 and (gaps or came > len(reports)) and all(row.process == process for row in told):
+        newest = max(report.until for report in told)
+        factor = min(newest - before, LONGEST) / max(looked_at, 1.0)
+        if factor > 1:  # what was never read is told by these, and counts no more if it comes after all
+            windows.cover(proxy, before, newest)
+    else:
+        factor = 1.0  # of another life: it told of nothing in between
+    factor = max(factor, 1.0)
     rows = [_part(report.row, covered.part) for report, covered in kept]
     made = Whole(combined(rows, factor))
     for report, covered in kept:
--- a/willowhook/reports/sums.py
+++ b/willowhook/reports/sums.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .fading import Fading, Sum
+from .fading import Fading, Landmark
 
 TRIES, ERRORS, SPENT = range(3)
 SURE = 1.96  # standard errors, for 95 of 100
@@ -60,6 +60,8 @@
     its count is taken for that of events that come by themselves.
     """
     found = dict[tuple[str, str], tuple[float, float, float, float]]()
+    if factor <= 1 and len(rows) == 1:
+        return {key: (*row, 0.0) for key, row in rows[0].cells.items()}
     n, all_of_them = len(rows), factor * len(rows)
     for key in dict.fromkeys(key for row in rows for key in row.cells):
         each = [row.cells.get(key, (0.0, 0.0, 0.0)) for row in rows]
@@ -78,11 +80,9 @@
 class Sums:
     """`heard(host, zone, tries, errors, mean, window, load)`: the decisions' ear."""
 
-    def __init__(self, fading: Fading, heard: Heard) -> None:
-        self._fading, self._heard = fading, heard
-        self._twice = Fading(fading.half // 2)  # a variance goes by the square of what counts
-        self._cells: dict[tuple[str, str, str], Sum] = {}
-        self._variances: dict[tuple[str, str, str], Sum] = {}
+    def __init__(self, half: int, heard: Heard) -> None:
+        self._fading, self._landmark, self._heard = Fading(half), Landmark(half), heard
+        self._cells: dict[tuple[str, str, str], list[float]] = {}  # tries, errors, time, variance of tries
         self._pending: dict[tuple[str, str], Pending] = {}
 
     def __len__(self) -> int:
@@ -93,29 +93,36 @@
         cells: dict[tuple[str, str], tuple[float, float, float, float]], loads: dict[str, dict[str, float]],
     ) -> None:  # fmt: skip
         """What came evenly from `since` to `until`, by this clock."""
-        late = self._fading.of(now - until)
+        factor = self._landmark.move(now)
+        if factor != 1:
+            for cell in self._cells.values():
+                cell[:] = (*(value * factor for value in cell[:3]), cell[3] * factor * factor)
+        late, gain, window = self._fading.of(now - until), self._landmark.gain(since, until), until - since
         for (host, route), (tries, errors, spent, variance) in cells.items():
-            key = (host, zone, route)
-            cell = self._cells.get(key)
-            if cell is None:
-                cell = self._cells[key] = Sum(3)
-            cell.add(self._fading, now, since, until, tries, errors, spent)
+            cell = self._cells.get((host, zone, route)) or self._new(host, zone, route)
+            cell[0] += tries * gain
+            cell[1] += errors * gain
+            cell[2] += spent * gain
             if variance:
-                sure = self._variances.setdefault(key, Sum(1))
-                sure.add(self._twice, now, now, now, 0.0)
-                share = self._fading.over(sure.at - since, sure.at - until)
-                sure.values[0] += variance * share * share
-            row = self._pending.get((host, zone))
-            if row is None:
-                row = self._pending[host, zone] = Pending()
+                cell[3] += variance * gain * gain
+            row = self._pending.get((host, zone)) or self._wait(host, zone)
             row.tries += tries * late
             row.errors += errors * late
             row.spent += spent * late
-            row.window = max(row.window, until - since)
+            if window > row.window:
+                row.window = window
         for host, load in loads.items():
             if (host, zone) in self._pending:
                 self._pending[host, zone].load = load
 
+    def _new(self, host: str, zone: str, route: str) -> list[float]:
+        cell = self._cells[host, zone, route] = [0.0, 0.0, 0.0, 0.0]
+        return cell
+
+    def _wait(self, host: str, zone: str) -> Pending:
+        row = self._pending[host, zone] = Pending()
+        return row
+
     def flush(self) -> int:
         """Hands on all that is new; how many calls that took."""
         count = 0
@@ -142,15 +149,13 @@
         cell = self._cells.get((host, zone, route))
         if cell is None:
             return Estimate(0.0, 0.0)
-        values = cell.total(self._fading, now)
-        sure = self._variances.get((host, zone, route))
-        bar = SURE * math.sqrt(max(sure.total(self._twice, now)[0], 0.0)) if sure is not None else 0.0
+        counts = self._landmark.at(now)
+        bar = SURE * math.sqrt(cell[3]) * counts
         if field_ != TRIES:
-            bar *= values[field_] / values[TRIES] if values[TRIES] else 0.0
-        return Estimate(values[field_], bar)
+            bar *= cell[field_] / cell[TRIES] if cell[TRIES] else 0.0
+        return Estimate(cell[field_] * counts, bar)
 
     def keep(self, hosts: frozenset[str]) -> None:
         """Of hosts that are not listed any more nothing is kept."""
         self._cells = {key: cell for key, cell in self._cells.items() if key[0] in hosts}
-        self._variances = {key: cell for key, cell in self._variances.items() if key[0] in hosts}
         self._pending = {key: row for key, row in self._pending.items() if key[0] in hosts}
--- a/willowhook/reports/windows.py
+++ b/willowhook/reports/windows.py
@@ -77,6 +77,17 @@
     def __len__(self) -> int:
         return len(self._clocks)
 
+    def before(self, proxy: str) -> tuple[str, int]:
+        """The process and the latest end that it told, by its clock; ('', -1) if none."""
+        clock = self._clocks.get(proxy)
+        return (clock.process, clock.newest) if clock is not None and clock.newest else ("", -1)
+
+    def cover(self, proxy: str, since: int, until: int) -> None:
+        """From now on this stretch, by the proxy's clock, is counted."""
+        clock = self._clocks.get(proxy)
+        if clock is not None and until > since:
+            clock.spans.take(since, until)
+
     def forget(self, proxy: str) -> None:
         self._clocks.pop(proxy, None)
 
