--- a/willowhook/director/report_desk.py
+++ b/willowhook/director/report_desk.py
@@ -68,9 +68,9 @@
         return self.quarantine.rests(self._ear.now(), name)
 
     def due(self, now: int, name: str) -> int:
-        """When what this proxy put in place may be read: no more than four times an asked interval."""
+        """When what this proxy put in place may be read: hardly more often than it is asked to report."""
         last = self._read_at.get(name)
-        return now if last is None else last + self.budget.interval // 4
+        return now if last is None else last + self.budget.interval * 3 // 4
 
     def read(self, now: int, name: str) -> None:
         self._read_at[name] = now
--- a/willowhook/front/discovery.py
+++ b/willowhook/front/discovery.py
@@ -27,7 +27,7 @@
 from .turns import Turns
 
 SECOND = 10_000
-LONGEST_HOLD_S = 1.0
+LONGEST_HOLD_S = 2.0
 BATCH = 32  # calls that are woken before others get a turn of the loop
 SERVICES = {"cds": ("cluster", "Cluster"), "eds": ("endpoint", "Endpoint"), "rds": ("route", "Route")}
 WHOLE = {f"/v3/discovery:{word}s".encode(): kind for kind, (word, _) in SERVICES.items()}
@@ -227,7 +227,7 @@
         await self._hall.report(line.proxy, call.body)
         # who reports far too often gets its answer when a report would have been due: it is asked to wait
         now = ticks()
-        due = line.reported_at + round(self._report_s * SECOND / 4)
+        due = line.reported_at + round(self._report_s * SECOND * 0.75)
         wait = due - now if line.reported_at >= 0 else 0
         if wait > 0:
             await trio.sleep(min(wait / SECOND, LONGEST_HOLD_S))
