What is known of a proxy's reports outlives its stay; sums of hosts that are gone are not kept

A proxy that came again was unknown, so an old report in its folder would have counted once more; and cells of hosts that left the list stayed for ever.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -18,7 +18,7 @@
 from willowhook.reports.read import MOST_ROWS, Report, read
 from willowhook.reports.sample import whole
 from willowhook.reports.sums import Row, Sums, combined
-from willowhook.reports.windows import BACK, Windows
+from willowhook.reports.windows import BACK, KEEP, Windows
 from willowhook.xds import forms
 from willowhook.xds.codec import FormError
 
@@ -104,6 +104,15 @@
     assert windows.untold(1, "q", 5000, 77).part == 1 and windows.untold(2, "q", 5000, 77).part == 0
 
 
+def test_what_is_known_of_a_proxy_outlives_its_stay_but_not_for_ever() -> None:
+    windows = Windows()
+    windows.told(SECOND, "p", "one", 40_000, 50_000)
+    windows.look(KEEP // 2)
+    assert windows.told(KEEP // 2, "p", "two", 40_000, 50_000).part == 0 and len(windows) == 1
+    windows.look(2 * KEEP)
+    assert len(windows) == 0
+
+
 def test_lateness_is_told_from_clocks_that_differ() -> None:
     windows = Windows()
     assert windows.told(1_000_000, "p", "a", 2_000_000, 2_005_000).until == 1_000_000
--- a/willowhook/director/report_desk.py
+++ b/willowhook/director/report_desk.py
@@ -82,7 +82,6 @@
         self.queue.forget(name)
         self.quarantine.forget(name)
         self._read_at.pop(name, None)
-        self._intake.windows.forget(name)
 
     # What is done with it.
 
@@ -125,6 +124,7 @@
             each = self.spent_ns / 100_000 / self.looked_at if self.looked_at else 0.0
             self.budget.look(now, came * SECOND / span, proxies, each)
             self.quarantine.look(now)
+            self._intake.windows.look(now)
             self._records.note(
                 now, "intake", came=self.queue.came, dropped=self.queue.dropped, looked_at=self.looked_at,
                 handed=self.handed, repeats=self._intake.windows.repeats, waiting=len(self.queue),
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -402,6 +402,7 @@
         if self.memory is not None:
             self.memory.listed({host.id: [host.draining, host.started] for host in hosts})
         self._list = hosts
+        self.reports.sums.keep(frozenset(host.id for host in hosts))
         start = self.clock.start_of
         self.tiers.listed(now, [(h.id, self._pools(h.kind), h.tier, h.draining, start(h)) for h in hosts])
         self._show(now)
--- a/willowhook/reports/windows.py
+++ b/willowhook/reports/windows.py
@@ -15,7 +15,7 @@
 DRIFT = 10_000  # clocks run apart by one part in so many at the most
 MOST_SPANS = 16  # apart from each other, a proxy; older ones grow together
 BACK = 10 * SECOND  # a clock that stands still or goes back for so long was set anew
-LONGEST = 3600 * SECOND
+KEEP = 600 * SECOND  # what is known of a proxy that says nothing
 KEPT = 4  # hashes of reports without times
 
 
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         self._clocks: dict[str, Clock] = {}
         self.repeats = self.clocks_set = 0
+        self._looked_at = 0
 
     def __len__(self) -> int:
         return len(self._clocks)
@@ -88,8 +89,13 @@
         if clock is not None and until > since:
             clock.spans.take(since, until)
 
-    def forget(self, proxy: str) -> None:
-        self._clocks.pop(proxy, None)
+    def look(self, now: int) -> None:
+        """What is known of a proxy outlives its stay, as old reports may come with the next; not for ever."""
+        if now - self._looked_at >= KEEP // 10:
+            self._looked_at = now
+            self._clocks = {
+                name: clock for name, clock in self._clocks.items() if now - clock.heard_at < KEEP
+            }
 
     def told(self, now: int, proxy: str, process: str, since: int, until: int) -> Covered:
         """A report that tells its times, by the proxy's clock; `since` < `until`."""
@@ -126,6 +132,7 @@
     def untold(self, now: int, proxy: str, length: int, content: int) -> Covered:
         """A report of the stretch of this length that ends now; `content`: a hash of its bytes."""
         clock = self._clocks.setdefault(proxy, Clock("", 0, 0, now))
+        clock.heard_at = now
         if content in clock.hashes:
             self.repeats += 1
             return Covered(0.0, now - length, now)
