--- a/willowhook/nginx/flat.py
+++ b/willowhook/nginx/flat.py
@@ -111,8 +111,6 @@
             at = self.site.place(path) or self.site.place(path + "/")
             if at is None or at.location.regex is not None or at.location.kind == EXACT:
                 continue
-            if at.location.pattern == path and at.location.kind != PRIORITY:
-                pass  # what begins with the path but lies beside it is not meant
             own = Location("", path, at.location.directive)
             made = Place(own, at.manner, at.target, at.passes, at.status, at.unsafe)
             self._names[id(made)] = path
--- a/willowhook/reports/queue.py
+++ b/willowhook/reports/queue.py
@@ -23,7 +23,6 @@
 
     rows: list[tuple[int, bytes]] = field(default_factory=list)  # when it came, the report
     came: int = 0  # since it was last served
-    first: int = 0  # when the first of these came
     deficit: float = 0.0
     share: float = 1.0
     heard: bool = False  # ever
@@ -34,7 +33,6 @@
     proxy: str
     rows: tuple[tuple[int, bytes], ...]
     came: int  # of so many these are a sample
-    waited: int
 
 
 class Queue:
@@ -59,7 +57,6 @@
         self.came += 1
         held.came += 1
         if held.came == 1:
-            held.first = now
             (self._turn if held.heard else self._first).append(proxy)
         if len(held.rows) < self._room:
             held.rows.append((now, data))
@@ -87,7 +84,7 @@
 
     def _serve(self, now: int, proxy: str) -> Taken:
         held = self._held[proxy]
-        taken = Taken(proxy, tuple(held.rows), held.came, now - held.first)
+        taken = Taken(proxy, tuple(held.rows), held.came)
         self.bytes -= sum(len(data) for _, data in held.rows)
         held.rows, held.came, held.heard = [], 0, True
         return taken
