--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-from willowhook.benchlink.facts import read_facts
+from willowhook.facts import read_facts
 from willowhook.host import Facts
 from willowhook.rules import Director
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,7 +9,7 @@
 import pytest
 
 from willowhook.benchlink import link
-from willowhook.benchlink.units import load_report, number, seconds, ticks
+from willowhook.units import load_report, number, seconds, ticks
 
 MORE_BAD = ["ROSTER_CHANGE\t3\t1\t0\tnews", "REGISTER\t0\tx"]
 BAD = ["WHAT\t3", "DIGEST\t3\t1", "REMINDER\t9\t0", "REMINDER\t3\tx", *MORE_BAD]
--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Iterable
 from typing import TextIO
 
+from ..facts import read_facts
 from ..host import Facts
 from ..rules import Director
-from .facts import read_facts
-from .units import load_report, number, seconds, ticks
+from ..units import load_report, number, seconds, ticks
 
 LIST_FORMS = frozenset(("incr", "total", "warm_copy", "lost"))
 HOST_MODES = frozenset(("in_service", "terminating", "terminated"))
--- a/willowhook/benchlink/facts.py
+++ b/willowhook/facts.py
@@ -1,4 +1,6 @@
-"""The settings of the first message, as the module's facts.  A missing key takes its documented meaning."""
+"""A deployment's settings, as the module's facts: the object that the bench's first message gives an
+instance, and that a real director finds in its configuration.  A missing key takes its documented meaning.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from ..host import ChannelTerms, Facts, FleetTerms, Route, RuleTerms
+from .host import ChannelTerms, Facts, FleetTerms, Route, RuleTerms
 from .units import ticks
 
 
@@ -33,7 +35,11 @@
 
 def read_facts(text: str) -> Facts:
     """Parses the settings; unknown keys are left alone."""
-    top = json.loads(text)
+    return facts_of(json.loads(text))
+
+
+def facts_of(top: dict[str, Any]) -> Facts:
+    """Times are seconds there.  Raises KeyError, TypeError, ValueError or AttributeError."""
     extra = top.get("extra", {})
     rules = top.get("contract", {})
     allowed = top.get("allowed", {})
--- /dev/null
+++ b/willowhook/frames/listing.py
@@ -0,0 +1,72 @@
+"""The platform's list of hosts: an answer of discovery, or the copy that a configuration brings along."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .codec import Fields, Spoilt
+from .fields import figure, whole, word
+
+MODES = {"active": "in_service", "leaving": "terminating", "left": "terminated"}
+VERSIONS, BORN_MS, SHARE = 1 << 62, 1e15, 1e9
+Row = tuple[str, str, int, str, float, str, str]  # as `host_listed` takes it
+
+
+class Listing:
+    """Follows the list: every answer gives the version, whether it is whole, and its rows.
+
+    An entry that is spoilt keeps what was last known of its host: it is no reason to take a host out.
+    """
+
+    def __init__(self) -> None:
+        self.seq = -1  # of the newest answer; -1: none yet
+        self.spoilt = 0
+        self._rows: dict[str, Row] = {}
+
+    def read(self, answer: Fields) -> tuple[bool, list[Row]]:
+        """Whether the rows are the whole list, and the rows.  Raises Spoilt on an answer of no use."""
+        seq, full, entries = whole(answer, "seq", VERSIONS), answer.get("whole"), answer.get("hosts")
+        if type(full) is not bool:
+            raise Spoilt("whole")
+        if type(entries) is not list:
+            raise Spoilt("hosts")
+        rows: dict[str, Row] = {}
+        for entry in entries:
+            try:
+                row = self._row(entry)
+            except Spoilt:
+                self.spoilt += 1
+                name = entry.get("host") if type(entry) is dict else None
+                kept = self._rows.get(name) if type(name) is str else None
+                if kept is None:
+                    continue
+                row = kept
+            rows[row[0]] = row
+        self.seq = seq
+        if full:
+            self._rows = {}
+        for name, row in rows.items():
+            if row[1] == "terminated":
+                self._rows.pop(name, None)
+            else:
+                self._rows[name] = row
+        return full, list(rows.values())
+
+    @staticmethod
+    def _row(entry: Any) -> Row:
+        if type(entry) is not dict:
+            raise Spoilt("entry")
+        mode = MODES.get(word(entry, "health"))
+        if mode is None:
+            raise Spoilt("health")
+        born = figure(entry, "born_ms", BORN_MS)
+        cell, size = str(entry.get("block", "")), figure(entry, "share", SHARE)
+        return (
+            word(entry, "host"),
+            mode,
+            round(born * 10),
+            cell,
+            size,
+            word(entry, "class"),
+            word(entry, "site"),
+        )
--- /dev/null
+++ b/willowhook/frames/orders.py
@@ -0,0 +1,231 @@
+"""The decision module's orders as messages on streams: one message a proxy and moment, of what changed.
+
+Here is the one place that knows what each stream was told.  What is ordered between two `moment_over` calls
+becomes one chain of parts for each proxy concerned: the tables it is bound to, whole, or the lines of its
+tables that changed; their levels; hosts to shut out or let back, with the mark.  Parts that several proxies
+get are encoded once.  No I/O and no clock.
+
+A proxy keeps, across its streams, those hosts shut out that another director named, and a bound one is to
+obey this director alone.  So a proxy that was under orders before is told to let back the hosts of its tables
+that may have been shut out: those known to have been out of service, or to have started anew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..host import ALL_TABLES, Facts
+from .codec import Fields, frame
+
+
+class Sheet:
+    """A table, and what changed in it since the last moment."""
+
+    def __init__(self) -> None:
+        self.lines: dict[str, float] = {}
+        self.levels: dict[int, tuple[int, float]] = {}
+        self.users: dict[int, tuple[int, ...]] = {}  # by proxy: the routes that it uses this table for
+        self.moved: dict[str, float] = {}
+        self.shifted: dict[int, None] = {}  # routes with another level
+
+
+class Stream:
+    """What the stream of a joined proxy was told."""
+
+    def __init__(self, doubtful: bool) -> None:
+        self.doubtful = doubtful  # others may have shut hosts out of it
+        self.bound: dict[int, int] = {}  # by route: its table
+        self.out: dict[str, None] = {}  # shut out on this stream
+        self.back: dict[str, None] = {}  # let back on this stream
+        # since the last moment:
+        self.anew: dict[int, None] = {}  # tables to tell whole
+        self.shut: dict[str, bool] = {}  # hosts to shut out, or to let back
+
+
+class Orders:
+    """The part of the module's host that concerns proxies; `out` takes proxy, frames and their rows."""
+
+    def __init__(self, facts: Facts, out: Callable[[int, list[bytes], int], None]) -> None:
+        self._names = [route.name for route in facts.routes]
+        self._out = out
+        self._sheets: dict[int, Sheet] = {}
+        self._streams: dict[int, Stream] = {}
+        self._withdrawn: dict[str, None] = {}
+        self._suspect: dict[str, None] = {}  # hosts that someone may have shut out and not let back
+        self._all: dict[int, tuple[int, float]] = {}  # levels for all tables
+        self._touched: dict[int, None] = {}
+        self._stamp = -1
+
+    # Members and hosts.
+
+    def join(self, proxy: int, fresh: bool) -> None:
+        self._streams[proxy] = Stream(not fresh)
+
+    def leave(self, proxy: int) -> None:
+        stream = self._streams.pop(proxy, None)
+        self._touched.pop(proxy, None)
+        for table in dict.fromkeys(stream.bound.values()) if stream else ():
+            self._sheets[table].users.pop(proxy, None)
+
+    def suspect(self, host: str) -> None:
+        """This host was out of service, or started anew: another director may have shut it out."""
+        self._suspect[host] = None
+
+    def forget(self, host: str) -> None:
+        """No list names it any more, and no table: nothing is kept of it."""
+        if not any(host in sheet.lines for sheet in self._sheets.values()):
+            self._withdrawn.pop(host, None)
+            self._suspect.pop(host, None)
+            for stream in self._streams.values():
+                stream.out.pop(host, None)
+                stream.back.pop(host, None)
+
+    # Orders.
+
+    def line(self, table: int, host: str, weight: float) -> None:
+        sheet = self._sheet(table)
+        sheet.lines.pop(host, None)
+        if weight > 0:
+            sheet.lines[host] = weight
+        sheet.moved[host] = weight
+        self._touch(sheet)
+
+    def clear(self, table: int) -> None:
+        sheet = self._sheet(table)
+        sheet.lines.clear()
+        sheet.levels.clear()
+        for proxy in sheet.users:
+            self._streams[proxy].anew[table] = None
+        self._touch(sheet)
+
+    def withdraw(self, host: str, on: bool) -> None:
+        if on:
+            self._withdrawn[host] = None
+        else:
+            self._withdrawn.pop(host, None)
+        holding = [s for s in self._sheets.values() if host in s.lines or host in s.moved]
+        for proxy, stream in self._streams.items():
+            if on:
+                told = not stream.bound or any(proxy in sheet.users for sheet in holding)
+            else:
+                told = host in stream.out or host in stream.shut or stream.doubtful
+            if told:
+                stream.shut[host] = on
+                self._touched[proxy] = None
+
+    def bind(self, proxy: int, table: int, routes: int) -> None:
+        stream = self._streams.get(proxy)
+        if stream is None:
+            return
+        self._sheet(table)
+        named = [k for k in range(len(self._names)) if routes == 0 or routes >> k & 1]
+        old = dict.fromkeys(stream.bound.values())
+        stream.bound.update(dict.fromkeys(named, table))
+        for number in [*old, table]:
+            used = tuple(k for k, at in sorted(stream.bound.items()) if at == number)
+            if used:
+                self._sheets[number].users[proxy] = used
+            else:
+                self._sheets[number].users.pop(proxy, None)
+                stream.anew.pop(number, None)
+        stream.anew[table] = None
+        self._touched[proxy] = None
+
+    def allow(self, table: int, routes: int, tries: int, level: float) -> None:
+        named = [k for k in range(len(self._names)) if routes == 0 or routes >> k & 1]
+        if table == ALL_TABLES:  # no order of its own on a stream: each table in use is told
+            self._all.update(dict.fromkeys(named, (tries, level)))
+            sheets = list(self._sheets.values())
+        else:
+            sheets = [self._sheet(table)]
+            sheets[0].levels.update(dict.fromkeys(named, (tries, level)))
+        for sheet in sheets:
+            sheet.shifted.update(dict.fromkeys(named))
+            self._touch(sheet)
+
+    def mark(self, number: int, everyone: bool) -> None:
+        self._stamp = number
+        if everyone:
+            self._touched.update(dict.fromkeys(self._streams))
+
+    def moment_over(self) -> None:
+        """Hands out what was ordered since the last moment."""
+        made: dict[object, tuple[list[bytes], int]] = {}  # shared parts
+        for proxy in self._touched:
+            frames, rows, stream = list[bytes](), 0, self._streams[proxy]
+            for table in dict.fromkeys(stream.bound.values()):
+                sheet, anew = self._sheets[table], table in stream.anew
+                key = (table, sheet.users[proxy], anew)
+                if key not in made:
+                    made[key] = self._table(sheet, key[1], anew)
+                frames += made[key][0]
+                rows += made[key][1]
+                self._let_back(stream, sheet.lines if anew else sheet.moved)
+                if anew:
+                    stream.shut.update((h, True) for h in sheet.lines if h in self._withdrawn)
+            shut = tuple(stream.shut.items())
+            if shut not in made:
+                made[shut] = self._last(shut)
+            if not frames and not shut and self._stamp < 0:
+                continue
+            self._out(proxy, frames + made[shut][0], rows + made[shut][1])
+            for host, on in shut:
+                stream.out.pop(host, None)
+                if on:
+                    stream.out[host] = None
+                    stream.back.pop(host, None)
+                elif stream.doubtful:
+                    stream.back[host] = None
+            stream.anew.clear()
+            stream.shut.clear()
+        for sheet in self._sheets.values():
+            sheet.moved.clear()
+            sheet.shifted.clear()
+        self._touched.clear()
+        self._stamp = -1
+
+    def _let_back(self, stream: Stream, lines: dict[str, float]) -> None:
+        """Hosts that this proxy gets lines for, and that another director may have shut out of it."""
+        for host in lines if stream.doubtful else ():
+            known = host in stream.back or host in stream.out or host in stream.shut
+            if lines[host] > 0 and not known and host in self._suspect and host not in self._withdrawn:
+                stream.shut[host] = False
+
+    def _table(self, sheet: Sheet, used: tuple[int, ...], anew: bool) -> tuple[list[bytes], int]:
+        names = [self._names[k] for k in used]
+        parts: list[Fields] = []
+        lines, shifted = (sheet.lines if anew else sheet.moved), (used if anew else sheet.shifted)
+        rows = len(lines) + anew
+        if anew or lines:
+            told: Fields = {"t": "assign", "for": names, "rows": list(lines.items()), "part": True}
+            parts.append({**told, "replace": True} if anew else told)
+        for k in used:
+            level = self._level(sheet, k)
+            if k in shifted and level is not None:
+                told = {"t": "assign", "for": [self._names[k]], "part": True}
+                parts.append({**told, "gate": level[1], "again": level[0]})
+                rows += 1
+        return [frame(part) for part in parts], rows
+
+    def _level(self, sheet: Sheet, route: int) -> tuple[int, float] | None:
+        """The table's own way of trying, and the lower level, where there is one for all tables too."""
+        own, everyone = sheet.levels.get(route), self._all.get(route)
+        if own is None or everyone is None:
+            return own or everyone
+        return own[0], min(own[1], everyone[1])
+
+    def _last(self, shut: tuple[tuple[str, bool], ...]) -> tuple[list[bytes], int]:
+        part: Fields = {"t": "assign"}
+        for key, wish in (("drop", True), ("undrop", False)):
+            hosts = [host for host, on in shut if on == wish]
+            if hosts:
+                part[key] = hosts
+        if self._stamp >= 0:
+            part["stamp"] = self._stamp
+        return [frame(part)], len(shut) + (self._stamp >= 0)
+
+    def _sheet(self, table: int) -> Sheet:
+        return self._sheets.setdefault(table, Sheet())
+
+    def _touch(self, sheet: Sheet) -> None:
+        self._touched.update(dict.fromkeys(sheet.users))
--- /dev/null
+++ b/willowhook/node/director.py
@@ -0,0 +1,230 @@
+"""One director in service: what comes in becomes calls on the decision module, its orders go out on streams.
+
+Calls are made where messages are read; one task ends each moment.  A fault of the module ends the program.
+"""
+
+from __future__ import annotations
+
+import heapq
+import resource
+import signal
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+
+import trio
+
+from ..frames.codec import Fields, Spoilt, Unreadable
+from ..frames.fields import Reader
+from ..frames.listing import Listing
+from ..frames.orders import Orders
+from ..rules import Director
+from .clock import Clock
+from .links import OK, Link, Links
+from .start import Start, Unusable
+from .watch import Watch
+
+SECOND = 10_000
+TICK_S = 0.004  # between moments at least: what comes closer together is one moment
+SHARE = 3.0  # and so many times as long as the last moment took, for reading to have its turn
+TELL_S = 10.0  # between lines on what is believed
+
+
+class Node:
+    """The module's host, and all that calls it.  `say` writes a line of the log."""
+
+    def __init__(self, start: Start, reread: Callable[[], Start], say: Callable[[str], None]) -> None:
+        # the protocol has neither probes nor a way from director to director
+        facts = replace(start.facts, probes=False, peers=False)
+        self._facts, self._reread, self._say = facts, reread, say
+        self._clock, self._reader, self._listing = Clock(), Reader(facts), Listing()
+        self._orders = Orders(facts, self._send)
+        self._streams: dict[int, Link] = {}  # by proxy
+        self._timers: list[tuple[int, int, int]] = []  # due, turn, key
+        self._turn = 0
+        self._stirred = trio.Event()
+        self._links = Links(start.listen, start.sockets, self._heard, self._ended)
+        self._spoilt = self._longest = 0
+        self._module = Director(self, facts, start.seed, self._clock.now())
+        # orders on proxies go where streams are known
+        self.line, self.clear, self.withdraw = self._orders.line, self._orders.clear, self._orders.withdraw
+        self.bind, self.allow, self.mark = self._orders.bind, self._orders.allow, self._orders.mark
+        after = -1
+        try:
+            after = self._take_list(start.known)
+        except Spoilt as fault:
+            say(f"the list of the configuration is of no use: {fault}")
+        self._watch = Watch(start.discovery, self._told, self._lost, after)
+        self._hard = False  # discovery is lost
+
+    # The module's host, but for orders on proxies.
+
+    def after(self, delay: int, key: int) -> None:
+        self._turn += 1
+        heapq.heappush(self._timers, (self._clock.now() + max(delay, 0), self._turn, key))
+
+    def log(self, text: str) -> None:
+        self._say(text)
+
+    def watch(self, on: bool) -> None:
+        self._watch.watch(on)
+
+    def fetch(self) -> None:
+        self._watch.fetch()
+
+    def probe(self, host: str) -> None:
+        """Never ordered: the facts say that there are none."""
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        """Never ordered: the facts say that there are no peers."""
+
+    # What comes in.
+
+    def _heard(self, link: Link, message: Fields) -> None:
+        kind = message.get("t")
+        if kind == "hb":
+            self._links.send(link, OK)
+            return
+        try:
+            if not link.known:
+                self._met(link, kind, message)
+            elif kind == "upstream_stats":
+                self._module.hosts_heard(self._clock.now(), *self._reader.upstream(message))
+            elif kind == "client_stats":
+                self._module.calls_came(self._clock.now(), *self._reader.client(message))
+            elif kind == "done" and link.proxy >= 0:
+                number, took = self._reader.done(message)
+                self._module.mark_answered(self._clock.now(), link.proxy, number, took)
+            else:
+                raise Spoilt("t")
+        except Spoilt:
+            self._spoilt += 1
+            return
+        self._stirred.set()
+
+    def _met(self, link: Link, kind: object, message: Fields) -> None:
+        """The first message says who speaks; who says anything else is turned away."""
+        try:
+            if kind == "telemetry":
+                link.zone = self._reader.zone(message)
+            elif kind == "attach":
+                self._joined(link, *self._reader.attach(message))
+            else:
+                raise Spoilt("t")
+        except Spoilt as fault:
+            raise Unreadable(f"no joining: {fault}") from fault
+        self._links.meet(link)
+
+    def _joined(self, link: Link, proxy: int, zone: str, rate: float, fresh: bool) -> None:
+        old = self._streams.get(proxy)
+        if old is not None:  # it dialled again before its old stream was seen to end
+            self._links.end(old)
+        link.proxy = proxy
+        self._streams[proxy] = link
+        self._orders.join(proxy, fresh)
+        self._module.proxy_joined(self._clock.now(), proxy, zone, rate, fresh)
+
+    def _ended(self, link: Link) -> None:
+        if link.proxy >= 0 and self._streams.get(link.proxy) is link:
+            del self._streams[link.proxy]
+            self._orders.leave(link.proxy)
+            self._module.proxy_left(self._clock.now(), link.proxy)
+            self._stirred.set()
+
+    def _send(self, proxy: int, frames: list[bytes], rows: int) -> None:
+        self._links.send(self._streams[proxy], b"".join(frames))
+
+    # The list.
+
+    def _told(self, answer: Fields) -> int:
+        after = self._take_list(answer)
+        if self._hard:
+            self._hard = False
+            self._say("discovery answers again")
+        return after
+
+    def _take_list(self, answer: Fields) -> int:
+        whole, rows = self._listing.read(answer)
+        now = self._clock.now()
+        if whole or rows:
+            self._module.list_began(now, whole)
+            for row in rows:
+                if row[1] != "in_service" or row[2] > 0:
+                    self._orders.suspect(row[0])
+                self._module.host_listed(now, *row)
+            self._module.list_ended(now)
+            self._stirred.set()
+        return self._listing.seq
+
+    def _lost(self, why: str) -> None:
+        if not self._hard:
+            self._hard = True
+            self._say(f"no list from discovery: {why}")
+        self._module.list_lost(self._clock.now())
+        self._stirred.set()
+
+    # Tasks.
+
+    async def run(self) -> None:
+        """Until SIGTERM or SIGINT.  Raises OSError if the address cannot be had."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                for task in (self._links.serve, self._watch.follow, self._decide, self._believe):
+                    nursery.start_soon(task)
+                async for each in signals:
+                    if each != signal.SIGHUP:
+                        nursery.cancel_scope.cancel()
+                        break
+                    self._configured()
+
+    def _configured(self) -> None:
+        """The file of the configuration was replaced: discovery may answer elsewhere."""
+        try:
+            start = self._reread()
+        except Unusable as fault:
+            self._say(f"the new configuration is not used: {fault}")
+            return
+        self._watch.move(start.discovery)
+        self._links.limit(start.sockets)
+        self._say(f"configured anew: discovery at {start.discovery[0]}:{start.discovery[1]}")
+
+    async def _decide(self) -> None:
+        if not self._facts.subscribe:
+            self._watch.watch(True)
+        while True:
+            wait = (self._timers[0][0] - self._clock.now()) / SECOND if self._timers else TELL_S
+            with trio.move_on_after(max(wait, 0.0)):
+                await self._stirred.wait()
+            self._stirred = trio.Event()
+            began = now = self._clock.now()
+            while self._timers and self._timers[0][0] <= now:
+                self._module.timer_due(now, heapq.heappop(self._timers)[2])
+            self._module.moment_over(now)
+            self._orders.moment_over()
+            took = self._clock.now() - began
+            self._longest = max(self._longest, took)
+            await trio.sleep(max(TICK_S, SHARE * took / SECOND))
+
+    async def _believe(self) -> None:
+        while True:
+            await trio.sleep(TELL_S)
+            module = self._module
+            ready = sum(up.mode == "in_service" for up in module.hosts.values())
+            memory = resource.getrusage(resource.RUSAGE_SELF)
+            self._say(
+                f"believed: {len(self._streams)} proxies, {ready} of {len(module.hosts)} hosts in service, "
+                f"load {module.loads[self._clock.now() // (SECOND // 2) - 1 & 7]:.2f}, "
+                f"room {module.room:.2f}, queue {module.channel.load():.0f}; {self._links.held} links, "
+                f"{memory.ru_maxrss >> 10} MB, {memory.ru_utime + memory.ru_stime:.1f} s of CPU, "
+                f"longest moment {self._longest / 10:.0f} ms, {self._spoilt} messages spoilt, "
+                f"{self._links.turned_away} turned away"
+            )
+            self._longest = 0
+
+
+def run(start: Start, reread: Callable[[], Start], say: Callable[[str], None]) -> None:
+    trio.run(partial(_run, start, reread, say))
+
+
+async def _run(start: Start, reread: Callable[[], Start], say: Callable[[str], None]) -> None:
+    await Node(start, reread, say).run()
