Hosts that others shut out are let back by order of the module, and charged; two crashes mended

Causes, by log and a probe that set lines written beside lines charged, moment by moment: - orders.py iterated over the proxies concerned while a send found a stream broken and took it out of there; - orders.py let hosts back at binds (75 rows) that rules.py charged without (62); the estimate was 3244 where 3602 waited. Ruled out: overdue marks (0), rows of tables and levels (equal to the charge in every other moment); - fields.py read the page's words of load (util, queue); the streams use the settings' words (busy, q), and 0.65 is what the module takes where nothing is told; - failed above tries is no spoilt report: the call came in an earlier span.

--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -63,6 +63,9 @@
     def bind(self, proxy: int, table: int, routes: int) -> None:
         self._put("USE_TABLE", self._who, str(proxy), str(table), str(routes))
 
+    def let_back(self, proxy: int, hosts: list[str]) -> None:
+        """Never ordered: on this wire a bound proxy obeys the withdrawals of its director alone."""
+
     def allow(self, table: int, routes: int, tries: int, level: float) -> None:
         self._put("ALLOW", self._who, str(routes), str(table), str(tries), number(level))
 
--- a/willowhook/frames/fields.py
+++ b/willowhook/frames/fields.py
@@ -14,8 +14,10 @@
 # orders; a report tells of a second or so, at proxies that pass some hundreds of calls a second.
 MARKS, CALLS, SPAN_MS, RATE = 1 << 16, 100_000, 600_000.0, 1e6
 NOISE = 2.0  # a mean of answered tries lies under the longest time limit, but for the noise of a report
-# The words of load reports here, by those of the settings, which the module reads.
+# The words of load reports: those of the settings, which the module reads, and those of the protocol's page.
 LOAD_WORDS = {
+    "busy": ("busy", 4.0), "q": ("q", 1e6), "rif": ("rif", 1e6), "lat_ms": ("lat_ms", 6e5),
+    "rate": ("rate", 1e6), "fail_rate": ("fail_rate", 1e6),
     "util": ("busy", 4.0), "queue": ("q", 1e6), "inflight": ("rif", 1e6), "latency_ms": ("lat_ms", 6e5),
     "qps": ("rate", 1e6), "eps": ("fail_rate", 1e6),
 }  # fmt: skip
@@ -85,8 +87,9 @@
         proxy, route = whole(message, "proxy", self._last), word(message, "class")
         if route not in self._routes:
             raise Spoilt("class")
-        calls = whole(message, "tries", CALLS)
-        return proxy, route, calls, whole(message, "failed", calls), self._span(message)
+        # a call that failed may have come in an earlier span
+        calls, failed = whole(message, "tries", CALLS), whole(message, "failed", CALLS)
+        return proxy, route, calls, failed, self._span(message)
 
     def _span(self, message: Fields) -> int:
         span = figure(message, "span_ms", SPAN_MS)
--- a/willowhook/frames/orders.py
+++ b/willowhook/frames/orders.py
@@ -4,10 +4,6 @@
 becomes one chain of parts for each proxy concerned: the tables it is bound to, whole, or the lines of its
 tables that changed; their levels; hosts to shut out or let back, with the mark.  Parts that several proxies
 get are encoded once.  No I/O and no clock.
-
-A proxy keeps, across its streams, those hosts shut out that another director named, and a bound one is to
-obey this director alone.  So a proxy that was under orders before is told to let back the hosts of its tables
-that may have been shut out: those known to have been out of service, or to have started anew.
 """
 
 from __future__ import annotations
@@ -33,10 +29,9 @@
     """What the stream of a joined proxy was told."""
 
     def __init__(self, doubtful: bool) -> None:
-        self.doubtful = doubtful  # others may have shut hosts out of it
+        self.doubtful = doubtful  # other directors gave it orders, and may have shut hosts out of it
         self.bound: dict[int, int] = {}  # by route: its table
         self.out: dict[str, None] = {}  # shut out on this stream
-        self.back: dict[str, None] = {}  # let back on this stream
         # since the last moment:
         self.anew: dict[int, None] = {}  # tables to tell whole
         self.shut: dict[str, bool] = {}  # hosts to shut out, or to let back
@@ -51,7 +46,6 @@
         self._sheets: dict[int, Sheet] = {}
         self._streams: dict[int, Stream] = {}
         self._withdrawn: dict[str, None] = {}
-        self._suspect: dict[str, None] = {}  # hosts that someone may have shut out and not let back
         self._all: dict[int, tuple[int, float]] = {}  # levels for all tables
         self._touched: dict[int, None] = {}
         self._stamp = -1
@@ -67,18 +61,12 @@
         for table in dict.fromkeys(stream.bound.values()) if stream else ():
             self._sheets[table].users.pop(proxy, None)
 
-    def suspect(self, host: str) -> None:
-        """This host was out of service, or started anew: another director may have shut it out."""
-        self._suspect[host] = None
-
     def forget(self, host: str) -> None:
         """No list names it any more, and no table: nothing is kept of it."""
         if not any(host in sheet.lines for sheet in self._sheets.values()):
             self._withdrawn.pop(host, None)
-            self._suspect.pop(host, None)
             for stream in self._streams.values():
                 stream.out.pop(host, None)
-                stream.back.pop(host, None)
 
     # Orders.
 
@@ -131,6 +119,12 @@
         stream.anew[table] = None
         self._touched[proxy] = None
 
+    def let_back(self, proxy: int, hosts: list[str]) -> None:
+        stream = self._streams.get(proxy)
+        if stream is not None:
+            stream.shut.update(dict.fromkeys(hosts, False))
+            self._touched[proxy] = None
+
     def allow(self, table: int, routes: int, tries: int, level: float) -> None:
         named = [k for k in range(len(self._names)) if routes == 0 or routes >> k & 1]
         if table == ALL_TABLES:  # no order of its own on a stream: each table in use is told
@@ -151,8 +145,11 @@
     def moment_over(self) -> None:
         """Hands out what was ordered since the last moment."""
         made: dict[object, tuple[list[bytes], int]] = {}  # shared parts
-        for proxy in self._touched:
-            frames, rows, stream = list[bytes](), 0, self._streams[proxy]
+        for proxy in list(self._touched):
+            stream = self._streams.get(proxy)
+            if stream is None:  # it broke as another was written to, and took its place here with it
+                continue
+            frames, rows = list[bytes](), 0
             for table in dict.fromkeys(stream.bound.values()):
                 sheet, anew = self._sheets[table], table in stream.anew
                 key = (table, sheet.users[proxy], anew)
@@ -160,7 +157,6 @@
                     made[key] = self._table(sheet, key[1], anew)
                 frames += made[key][0]
                 rows += made[key][1]
-                self._let_back(stream, sheet.lines if anew else sheet.moved)
                 if anew:
                     stream.shut.update((h, True) for h in sheet.lines if h in self._withdrawn)
             shut = tuple(stream.shut.items())
@@ -173,9 +169,6 @@
                 stream.out.pop(host, None)
                 if on:
                     stream.out[host] = None
-                    stream.back.pop(host, None)
-                elif stream.doubtful:
-                    stream.back[host] = None
             stream.anew.clear()
             stream.shut.clear()
         for sheet in self._sheets.values():
@@ -184,13 +177,6 @@
         self._touched.clear()
         self._stamp = -1
 
-    def _let_back(self, stream: Stream, lines: dict[str, float]) -> None:
-        """Hosts that this proxy gets lines for, and that another director may have shut out of it."""
-        for host in lines if stream.doubtful else ():
-            known = host in stream.back or host in stream.out or host in stream.shut
-            if lines[host] > 0 and not known and host in self._suspect and host not in self._withdrawn:
-                stream.shut[host] = False
-
     def _table(self, sheet: Sheet, used: tuple[int, ...], anew: bool) -> tuple[list[bytes], int]:
         names = [self._names[k] for k in used]
         parts: list[Fields] = []
--- a/willowhook/host.py
+++ b/willowhook/host.py
@@ -24,6 +24,7 @@
     def clear(self, table: int) -> None: ...
     def withdraw(self, host: str, on: bool) -> None: ...  # whatever tables the joined proxies hold
     def bind(self, proxy: int, table: int, routes: int) -> None: ...  # rds: a bit a route, 0: all
+    def let_back(self, proxy: int, hosts: list[str]) -> None: ...  # whom other directors may have shut out
     def allow(self, table: int, routes: int, tries: int, level: float) -> None: ...
     def mark(self, number: int, everyone: bool) -> None: ...  # answered by `mark_answered`
 
@@ -101,3 +102,4 @@
     channel: ChannelTerms
     rules: RuleTerms
     fleet: FleetTerms
+    keeps_shut: bool = False  # a proxy keeps, once bound, whom another director shut out of it
--- a/willowhook/node/director.py
+++ b/willowhook/node/director.py
@@ -34,8 +34,8 @@
     """The module's host, and all that calls it.  `say` writes a line of the log."""
 
     def __init__(self, start: Start, reread: Callable[[], Start], say: Callable[[str], None]) -> None:
-        # the protocol has neither probes nor a way from director to director
-        facts = replace(start.facts, probes=False, peers=False)
+        # no probes and nothing from director to director in the protocol, and withdrawals outlive a stream
+        facts = replace(start.facts, probes=False, peers=False, keeps_shut=True)
         self._facts, self._reread, self._say = facts, reread, say
         self._clock, self._reader, self._listing = Clock(), Reader(facts), Listing()
         self._orders = Orders(facts, self._send)
@@ -45,10 +45,13 @@
         self._stirred = trio.Event()
         self._links = Links(start.listen, start.sockets, self._heard, self._ended)
         self._spoilt = self._longest = 0
+        self._spoilt_of: dict[str, None] = {}
+        self._spoilt_told = 0
         self._module = Director(self, facts, start.seed, self._clock.now())
         # orders on proxies go where streams are known
         self.line, self.clear, self.withdraw = self._orders.line, self._orders.clear, self._orders.withdraw
-        self.bind, self.allow, self.mark = self._orders.bind, self._orders.allow, self._orders.mark
+        self.bind, self.let_back = self._orders.bind, self._orders.let_back
+        self.allow, self.mark = self._orders.allow, self._orders.mark
         after = -1
         try:
             after = self._take_list(start.known)
@@ -97,8 +100,12 @@
                 self._module.mark_answered(self._clock.now(), link.proxy, number, took)
             else:
                 raise Spoilt("t")
-        except Spoilt:
+        except Spoilt as fault:
             self._spoilt += 1
+            self._spoilt_of[f"{kind}: {fault}"] = None
+            if len(self._spoilt_of) > self._spoilt_told:
+                self._spoilt_told += 1
+                self._say(f"spoilt {str(message)[:300]}: {fault}")
             return
         self._stirred.set()
 
@@ -149,8 +156,6 @@
         if whole or rows:
             self._module.list_began(now, whole)
             for row in rows:
-                if row[1] != "in_service" or row[2] > 0:
-                    self._orders.suspect(row[0])
                 self._module.host_listed(now, *row)
             self._module.list_ended(now)
             self._stirred.set()
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -61,7 +61,8 @@
         self.bound: dict[int, int] = {}  # to the tables of its group, or the wide ones: -1
         self.wide, self.groups = list(self.tables), dict[int, int]()  # groups, while tables are narrow
         self.narrow_until, self.narrow, self.parts, self.last = 0, NARROW, 1, len(self.tables)
-        self.joined: dict[int, tuple[int, float]] = {}  # to be bound: who waits longest, then the busiest
+        # to be bound, who waits longest and is busiest first; whether others gave it orders
+        self.joined: dict[int, tuple[int, float, bool]] = {}
         self.rates: dict[str, dict[int, float]] = {r.name: {} for r in facts.routes}  # calls a second
         self.room, self.rooms = OPEN, [OPEN] * 32  # the share let in; by beat, a ring
         self.stress, self.good = 0.0, 0.0  # of all hosts; the share of tries heard to be answered
@@ -84,7 +85,11 @@
         self.proxies[proxy], self.channel.waiting[proxy] = (zone, rate), []
         if not fresh:  # it may have lost a withdrawal with its stream
             self.remind_at, self.joined_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4), now
-        self.joined[proxy] = (now // SECOND - 2 * fresh, -rate)  # who holds few hosts may lose them all
+        self.joined[proxy] = (
+            now // SECOND - 2 * fresh,
+            -rate,
+            not fresh,
+        )  # who holds few hosts may lose them all
         if self.narrow_until:
             self.groups.setdefault(proxy, int(self.chance() * self.parts))
 
@@ -109,6 +114,8 @@
             if self.channel.load() >= limit:
                 break
             self.bound[proxy] = self.groups.get(proxy, -1)
+            if self.joined[proxy][2] and self.facts.keeps_shut:
+                self.let_back(now, proxy)
             for table in [t for t in self.tables if t.group == self.bound[proxy] and self.near(t, proxy)]:
                 self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
                 out = sum(self.hosts[name].withdrawn for name in table.sent)
@@ -124,6 +131,15 @@
             self.host.mark(self.channel.send(now), False)  # answered by `mark_answered`, so arrival is known
             self.send_after = now + self.spacing
 
+    def let_back(self, now: int, proxy: int) -> None:
+        """Who came from another director is told of hosts that came back while it may have been there."""
+        since = now - self.facts.rules.cold
+        ready = {n: u for n, u in self.hosts.items() if u.mode == "in_service" and not u.withdrawn}
+        back = [name for name, up in ready.items() if max(up.started, up.shifted_at) > since]
+        if back:
+            self.host.let_back(proxy, back)
+            self.channel.charge([proxy], len(back))
+
     def tune(self, now: int, tables: list[Table], limit: float) -> None:
         """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed."""
         found, shares = [], self.shares()
@@ -423,7 +439,7 @@
                 places = range(k, max(len(ups), k + 1 + self.parts * (FEW - 1)), self.parts)
                 narrow.only = [ups[place % len(ups)] for place in places]
                 self.tables.append(narrow)
-        self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
+        self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
 
     # Levels and tries: throttle early under overload, least importance first.
 
@@ -526,7 +542,7 @@
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
-            self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0))
+            self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
         if now >= self.solve_at:
             self.solve_at = now + (SOLVE_EVERY if self.solve(now) else BEAT)
         self.host.after(BEAT, 0)
