A link that is closed between becoming writable and its turn no longer ends the director

Seen: the test of a proxy that reads nothing failed in one run of three; the director's log had an IndexError in Link.flush (links.py), which pops what waits after its wait. The link's reader closes it and clears the queue when more than may wait has come, in the same turn of the loop in which the socket became writable. Ruled out: the other proxy, which only met the crash. Now looked at again after the wait.

--- a/willowhook/node/links.py
+++ b/willowhook/node/links.py
@@ -71,6 +71,8 @@
         try:
             while self._waiting and self.open:
                 await trio.lowlevel.wait_writable(self.sock)
+                if not self._waiting:
+                    break  # it was closed after it had become writable, before its turn here
                 data = self._waiting.popleft()
                 self._bytes -= len(data)
                 try:
