Tables leave as waves after a solve; what is told again is paced at a twentieth of the rate

Ruled out: overdue answers (0), rows beside charge (equal), the intake. Cause: rules.py sent what moved, and the table again after every join, each beat up to a third of the queue, whatever the heads cost.

Now lines wait for a solve, a list or a change of health; a table goes whole in one wave, as much as leaves withdrawals time to reach all within the grace; hosts in or out go first; what is told again is paced.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -262,6 +262,7 @@
     stage.pass_time(20 * SECOND)
     for up in stage.director.hosts.values():
         up.factor = 0.5
+    stage.director.news = True
     stage.pass_time(24 * SECOND)
     assert all(max(stage.weights(table).values()) < 0.6 for table in stage.host.lines)
 
@@ -376,3 +377,36 @@
         lacks = lacks and (small or bool(book))  # at size it holds its standing table until it is bound
         bare[proxy] = bare.get(proxy, now) if lacks else now
         assert now - bare[proxy] <= terms.rules.bare
+
+
+def test_lines_wait_for_a_solve_and_leave_as_one_wave_that_a_withdrawal_can_follow_in_time() -> None:
+    terms = facts(channel__order_price=0.001)
+    stage = started(Stage(terms), hosts=20, proxies=40)
+    stage.pass_time(20 * SECOND)
+    before = {proxy: len(times) for proxy, times in stage.host.messages.items()}
+    for up in stage.director.hosts.values():
+        up.factor = 0.5
+    stage.pass_time(SECOND)  # weights may have drifted: no message for that alone
+    assert {proxy: len(times) for proxy, times in stage.host.messages.items()} == before
+    stage.director.news = True
+    stage.pass_time(SECOND // 2)
+    assert (
+        sum(w == 0.5 for w in stage.weights().values()) > 15
+    )  # not three lines a message, as a head costs seven
+    assert {len(times) - before[proxy] for proxy, times in stage.host.messages.items()} == {1}
+    left = terms.rules.drain_grace - terms.channel.late_most - terms.rules.drain_grace // 8
+    assert stage.director.channel.queue + 40 * 8 <= left * terms.channel.lines_per_s / SECOND + 40
+
+
+def test_what_is_told_again_takes_a_twentieth_of_the_rate() -> None:
+    stage = started(Stage(), hosts=40, proxies=40)
+    stage.pass_time(15 * SECOND)
+    lines = stage.director.channel.mark
+    for second in range(60):
+        if second % 2 == 0:
+            stage.leave(second % 7)
+            stage.join(second % 7, fresh=False)
+            stage.over()
+        stage.director.news = True
+        stage.pass_time(SECOND)
+    assert stage.director.channel.mark - lines < 30 + 60 * 0.05 * 1600 * 2 / (40 * 8)
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -21,7 +21,9 @@
 SOLVE_EVERY, DAMPING = 3 * SECOND, 0.5  # between steps; of the gap to the target, a step
 CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
+IN_OUT, FAR, TOLD = 0, 1, 2  # turns of lines: in or out, then moved far, then told before
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
+WAVE, RESEND_RATE = 0.4, 0.05  # of the lines that may wait, a table's wave; of the rate, what is told again
 GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
 NEARLY, OF_LATE = 0.95, 5 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
@@ -73,6 +75,7 @@
         self.rate, head = facts.channel.lines_per_s / SECOND, int(facts.channel.head_lines) + 1
         self.channel = Channel(self.rate, head, facts.channel.late_most, now)  # a head holds its mark too
         self.order_after, self.send_after, self.solve_at = 0, now, now
+        self.news, self.resend_at = True, 0  # weights may have moved; when lines may be told again
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
         self.whole, self.listing = False, [""]  # the list that is coming in
@@ -122,9 +125,9 @@
                 self.channel.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
                 table.owed = dict.fromkeys(table.sent)
             del self.joined[proxy]
-        if now >= self.order_after and self.channel.load() < limit / 2:
-            before = self.channel.load()
-            self.tune(now, self.tables, limit)
+        before = self.channel.load()
+        if now >= self.order_after and before < limit / 2:
+            self.tune(now, self.tables, self.wave())
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
             self.order_after = now + max(BEAT, int(spent))
         if self.channel.moment:
@@ -141,7 +144,10 @@
             self.channel.charge([proxy], len(back))
 
     def tune(self, now: int, tables: list[Table], limit: float) -> None:
-        """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed."""
+        """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed.
+
+        A message costs as much as several lines, so lines wait for a solve, and a table goes in one wave.
+        """
         found, shares = [], self.shares()
         for table in tables:
             users = self.users(table)
@@ -151,14 +157,21 @@
                     self.host.allow(table.number, 1 << k, tries, level)
                     table.levels[k] = (tries, level)
                     self.channel.charge(users, 1)
-            found += [(moved, table, users, name, new) for moved, name, new in self.moves(now, table, users)]
-        for _, table, users, name, weight in sorted(found, key=lambda row: -row[0]):
+            moves = self.moves(now, table, users)
+            whole = sum(moved for _, moved, *_ in moves)
+            wanted = [row for row in moves if self.news or not users or row[0] == IN_OUT]
+            found += [((row[0], -whole, -row[1]), table, users, row) for row in wanted]
+        self.news, again = False, 0
+        for _, table, users, (turn, _, name, weight) in sorted(found, key=lambda row: row[0]):
             if users and self.channel.load() >= limit:
+                self.news = True
                 break
+            again += turn == TOLD and self.channel.cost(users, 1)
             self.line(table, users, name, weight)
+        self.resend_at = max(self.resend_at, now + int(again / (self.rate * RESEND_RATE)))
 
-    def moves(self, now: int, table: Table, users: list[int]) -> list[tuple[float, str, float]]:
-        """The lines worth sending, with how far each moved."""
+    def moves(self, now: int, table: Table, users: list[int]) -> list[tuple[int, float, str, float]]:
+        """The lines worth sending, with the turn of each and how far it moved."""
         weights = {name: self.weight(now, table, up) for name, up in self.hosts.items()}
         if not any(weights.values()):  # the last hosts left are used, however they fare
             left = [name for name, up in self.hosts.items() if self.open_to(table, up)]
@@ -174,8 +187,12 @@
         for name, weight in weights.items():
             old = table.sent.get(name, 0.0)
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
-            if moved > quantum or (name in table.owed and weight):
-                found.append((moved * part * (not self.hosts[name].withdrawn), name, weight))
+            if moved > quantum:
+                last = self.hosts[name].withdrawn
+                turn = FAR if last or (weight and old) else IN_OUT
+                found.append((turn, moved * part * (not last), name, weight))
+            elif name in table.owed and weight and now >= self.resend_at:
+                found.append((TOLD, 0.0, name, weight))
         return found
 
     def users(self, table: Table) -> list[int]:
@@ -264,6 +281,13 @@
         reach -= (self.facts.fleet.proxies + len(self.proxies)) * (self.channel.head + 1)
         return min(terms.most_waiting, max(reach, terms.most_waiting / 2)) / 3
 
+    def wave(self) -> float:
+        """What may wait once tables went out: withdrawals that come next still reach all in time."""
+        terms, grace = self.facts.channel, self.facts.rules.drain_grace
+        reach = self.rate * (grace - grace / GATHER - terms.late_most)
+        reach -= len(self.proxies) * (self.channel.head + 1)
+        return max(self.limit(), min(terms.most_waiting * WAVE, reach))
+
     def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
         self.channel.answered(proxy, number)
 
@@ -342,7 +366,7 @@
         for name in [n for n in self.hosts if n not in here] if self.whole else ():
             self.hosts[name].mode = "terminated"
             self.shifted.setdefault(name, now)
-        self.order_after = now
+        self.order_after, self.news = now, True
 
     def list_lost(self, now: int) -> None:
         self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
@@ -393,6 +417,7 @@
         usual = shares[len(shares) // 4] if shares else 0.0  # of the better hosts: half a fleet may fail
         for name, up, (tries, errors, _) in ready:
             share = errors / max(tries, 1.0)
+            was = up.sick
             if up.sick and now >= up.out_until:
                 up.sick = False
                 up.heard.forget()
@@ -401,6 +426,8 @@
                 up.rest = min(2 * up.rest, 4 * REST) or REST
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
+            if up.sick != was:
+                self.order_after, self.news = now, True
 
     def find_cuts(self, now: int) -> None:
         """Hosts of a zone that miss their probes together, while near ones answer, cannot be reached."""
@@ -412,6 +439,7 @@
         if not near or sum(near) > (1 - CUT_SHARE) * len(near):
             cuts = []  # the trouble is here, or everywhere
         if cuts != self.cuts:
+            self.news = True
             self.host.log(f"zones cut off: {' '.join(cuts) or 'none'}, of {len(probed)} hosts probed")
             self.shunned = now + SHUNNED if self.facts.fleet.strikes else 0
         self.cuts = cuts
@@ -544,5 +572,7 @@
             self.narrow_until, self.groups = 0, {}
             self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
         if now >= self.solve_at:
-            self.solve_at = now + (SOLVE_EVERY if self.solve(now) else BEAT)
+            solved = self.solve(now)
+            self.news = self.news or solved
+            self.solve_at = now + (SOLVE_EVERY if solved else BEAT)
         self.host.after(BEAT, 0)
