Hosts that come in wait for a wave; what moved rides with withdrawals

Cause: list_ended brought the next wave forward, and tune ran only while little waited, also where messages went to all. A host that comes in is cold and in no hurry; a table with nothing open is still filled at once by guard.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -21,7 +21,7 @@
 SOLVE_EVERY, DAMPING = 3 * SECOND, 0.5  # between steps; of the gap to the target, a step
 CLAMP, ENTRY = 2.0, 0.5  # factor of its base that a target stays within; factor of a newly started host
 CHANGE, MOVED = 0.1, 9.0  # logarithm of a move: the least that is sent; as which in or out counts
-IN_OUT, FAR, TOLD = 0, 1, 2  # turns of lines: in or out, then moved far, then told before
+OUT, FAR, TOLD = 0, 1, 2  # turns of lines: out for its health, then moved far, then told before
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
 WAVE, RESEND_RATE = 0.4, 0.05  # of the lines that may wait, a table's wave; of the rate, what is told again
 GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
@@ -75,7 +75,7 @@
         self.rate, head = facts.channel.lines_per_s / SECOND, int(facts.channel.head_lines) + 1
         self.channel = Channel(self.rate, head, facts.channel.late_most, now)  # a head holds its mark too
         self.order_after, self.send_after, self.solve_at = 0, now, now
-        self.news, self.resend_at = True, 0  # weights may have moved; when lines may be told again
+        self.news, self.news_at, self.resend_at = True, now, 0  # weights may have moved; lines be told again
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
         self.whole, self.listing = False, [""]  # the list that is coming in
@@ -110,7 +110,11 @@
         if now < self.send_after:
             return
         self.channel.drain(now)
+        before = self.channel.load()
         self.guard(now)
+        # where messages go to most anyway, what moved goes with them
+        riding = 2 * len(self.channel.moment) > len(self.proxies)
+        self.news = self.news or riding
         # what keeps rules waits for nothing else
         limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
         for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
@@ -125,8 +129,7 @@
                 self.channel.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
                 table.owed = dict.fromkeys(table.sent)
             del self.joined[proxy]
-        before = self.channel.load()
-        if now >= self.order_after and before < limit / 2:
+        if riding or (now >= self.order_after and self.channel.load() < limit / 2):
             self.tune(now, self.tables, self.wave())
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
             self.order_after = now + max(BEAT, int(spent))
@@ -159,7 +162,7 @@
                     self.channel.charge(users, 1)
             moves = self.moves(now, table, users)
             whole = sum(moved for _, moved, *_ in moves)
-            wanted = [row for row in moves if self.news or not users or row[0] == IN_OUT]
+            wanted = [row for row in moves if self.news or not users or row[0] == OUT]
             found += [((row[0], -whole, -row[1]), table, users, row) for row in wanted]
         self.news, again = False, 0
         for _, table, users, (turn, _, name, weight) in sorted(found, key=lambda row: row[0]):
@@ -189,7 +192,7 @@
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
             if moved > quantum:
                 last = self.hosts[name].withdrawn
-                turn = FAR if last or (weight and old) else IN_OUT
+                turn = FAR if last or weight else OUT
                 found.append((turn, moved * part * (not last), name, weight))
             elif name in table.owed and weight and now >= self.resend_at:
                 found.append((TOLD, 0.0, name, weight))
@@ -366,7 +369,6 @@
         for name in [n for n in self.hosts if n not in here] if self.whole else ():
             self.hosts[name].mode = "terminated"
             self.shifted.setdefault(name, now)
-        self.order_after, self.news = now, True
 
     def list_lost(self, now: int) -> None:
         self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
@@ -573,6 +575,7 @@
             self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
         if now >= self.solve_at:
             solved = self.solve(now)
-            self.news = self.news or solved
             self.solve_at = now + (SOLVE_EVERY if solved else BEAT)
+            if solved or now >= self.news_at:
+                self.news, self.news_at = True, now + SOLVE_EVERY
         self.host.after(BEAT, 0)
