--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -77,6 +77,10 @@
         self.withdrawals += on
         self._charge(list(self.joined), 1)
 
+    def forget(self, host: str) -> None:
+        assert not any(host in book for book in self.lines.values())
+        self.out.pop(host)
+
     def bind(self, proxy: int, table: int, routes: int) -> None:
         assert proxy in self.joined
         for k in range(len(self.terms.routes)):
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -230,7 +230,7 @@
 
     def nothing(self, *_: object) -> None: ...
 
-    after = log = watch = fetch = probe = tell = nothing
+    forget = after = log = watch = fetch = probe = tell = nothing
 
 
 def test_rows_on_streams_are_those_that_the_module_charged() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -410,3 +410,18 @@
         stage.director.news = True
         stage.pass_time(SECOND)
     assert stage.director.channel.mark - lines < 30 + 60 * 0.05 * 1600 * 2 / (40 * 8)
+
+
+def test_hosts_that_are_gone_are_forgotten_and_may_come_back_cold() -> None:
+    stage = started(Stage())
+    most = 0
+    for day in range(40):  # new hosts under new ids all day
+        stage.list({f"h{day}": ("terminated", 0), f"h{day + 8}": ("in_service", stage.now)}, whole=False)
+        stage.hear(f"h{day + 7}", 10, 0, 100)
+        stage.come(0, "read", 10)
+        stage.pass_time(6 * SECOND)
+        most = max(most, len(stage.director.hosts), len(stage.host.out))
+    assert most < 16 and len(stage.director.shifted) < 16
+    stage.list({"h0": ("in_service", stage.now)}, whole=False)
+    stage.pass_time(4 * SECOND)
+    assert 0 < stage.weights()["h0"] < 1
--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -60,6 +60,9 @@
     def withdraw(self, host: str, on: bool) -> None:
         self._put("BENCH", self._who, host, "1" if on else "0")
 
+    def forget(self, host: str) -> None:
+        """On this wire hosts that have gone stay known; nothing has to be said."""
+
     def bind(self, proxy: int, table: int, routes: int) -> None:
         self._put("USE_TABLE", self._who, str(proxy), str(table), str(routes))
 
--- a/willowhook/director/book.py
+++ b/willowhook/director/book.py
@@ -109,6 +109,9 @@
             self._withdrawn.pop(host, None)
         self._charge([proxy for proxy, member in self.members.items() if self.holds(member, host)], 1)
 
+    def forget(self, host: str) -> None:
+        """A proxy's own files may still name it: what was withdrawn stays so in every message."""
+
     def bind(self, proxy: int, table: int, routes: int) -> None:
         member = self.members.get(proxy)
         if member is None:
--- a/willowhook/frames/orders.py
+++ b/willowhook/frames/orders.py
@@ -63,10 +63,9 @@
 
     def forget(self, host: str) -> None:
         """No list names it any more, and no table: nothing is kept of it."""
-        if not any(host in sheet.lines for sheet in self._sheets.values()):
-            self._withdrawn.pop(host, None)
-            for stream in self._streams.values():
-                stream.out.pop(host, None)
+        self._withdrawn.pop(host, None)
+        for stream in self._streams.values():
+            stream.out.pop(host, None)
 
     # Orders.
 
--- a/willowhook/host.py
+++ b/willowhook/host.py
@@ -23,6 +23,7 @@
     def line(self, table: int, host: str, weight: float) -> None: ...  # eds: 0 takes the line out
     def clear(self, table: int) -> None: ...
     def withdraw(self, host: str, on: bool) -> None: ...  # whatever tables the joined proxies hold
+    def forget(self, host: str) -> None: ...  # it has gone for good: nothing will be ordered of it
     def bind(self, proxy: int, table: int, routes: int) -> None: ...  # rds: a bit a route, 0: all
     def let_back(self, proxy: int, hosts: list[str]) -> None: ...  # whom other directors may have shut out
     def allow(self, table: int, routes: int, tries: int, level: float) -> None: ...
--- a/willowhook/node/director.py
+++ b/willowhook/node/director.py
@@ -28,6 +28,7 @@
 TICK_S = 0.004  # between moments at least: what comes closer together is one moment
 SHARE = 3.0  # and so many times as long as the last moment took, for reading to have its turn
 TELL_S = 10.0  # between lines on what is believed
+SPOILT_TOLD = 20  # messages that are told one by one; the others are counted
 
 
 class Node:
@@ -45,12 +46,10 @@
         self._stirred = trio.Event()
         self._links = Links(start.listen, start.sockets, self._heard, self._ended)
         self._spoilt = self._longest = 0
-        self._spoilt_of: dict[str, None] = {}
-        self._spoilt_told = 0
         self._module = Director(self, facts, start.seed, self._clock.now())
         # orders on proxies go where streams are known
         self.line, self.clear, self.withdraw = self._orders.line, self._orders.clear, self._orders.withdraw
-        self.bind, self.let_back = self._orders.bind, self._orders.let_back
+        self.bind, self.let_back, self.forget = self._orders.bind, self._orders.let_back, self._orders.forget
         self.allow, self.mark = self._orders.allow, self._orders.mark
         after = -1
         try:
@@ -102,10 +101,8 @@
                 raise Spoilt("t")
         except Spoilt as fault:
             self._spoilt += 1
-            self._spoilt_of[f"{kind}: {fault}"] = None
-            if len(self._spoilt_of) > self._spoilt_told:
-                self._spoilt_told += 1
-                self._say(f"spoilt {str(message)[:300]}: {fault}")
+            if self._spoilt <= SPOILT_TOLD:
+                self._say(f"spoilt: {fault} of {str(kind)[:40]!r}")
             return
         self._stirred.set()
 
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -26,6 +26,9 @@
 WAVE, RESEND_RATE = 0.4, 0.05  # of the lines that may wait, a table's wave; of the rate, what is told again
 GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
 NEARLY, OF_LATE = 0.95, 5 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
+GONE = (
+    30 * SECOND
+)  # after its withdrawal, a host that is gone is forgotten: no stream waits so long for a table
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -370,6 +373,15 @@
             self.hosts[name].mode = "terminated"
             self.shifted.setdefault(name, now)
 
+    def forget(self, now: int) -> None:
+        """Hosts that are gone for good, once no proxy here can hold a line for them any more."""
+        gone = [n for n, u in self.hosts.items() if u.mode == "terminated" and u.withdrawn]
+        for name in [n for n in gone if now - self.hosts[n].shifted_at > GONE and not self.having(n)]:
+            del self.hosts[name]
+            self.shifted.pop(name, None)
+            self.again = [other for other in self.again if other != name]
+            self.host.forget(name)
+
     def list_lost(self, now: int) -> None:
         self.host.log(f"list lost: asking again within {2 * self.backoff // SECOND} s")
         self.listen_at = now + int(self.backoff * (0.5 + self.chance()))
@@ -555,6 +567,7 @@
 
     def timer_due(self, now: int, key: int) -> None:
         self.channel.look(now, 2 * self.facts.rules.drain_grace)
+        self.forget(now)
         self.find_cuts(now)
         self.look(now)
         self.gauge(now)
