What is told again waits until nothing moved; the rest of a wave goes as the queue allows

Ruled out: the queue (empty from 3.8 s on), reports. Cause: tune let what is owed fill up a wave that had moved lines, and moment_over made the rest of a cut wave wait like a new one.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -135,7 +135,7 @@
         if riding or (now >= self.order_after and self.channel.load() < limit / 2):
             self.tune(now, self.tables, self.wave())
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
-            self.order_after = now + max(BEAT, int(spent))
+            self.order_after = now + (BEAT if self.news else max(BEAT, int(spent)))
         if self.channel.moment:
             self.host.mark(self.channel.send(now), False)  # answered by `mark_answered`, so arrival is known
             self.send_after = now + self.spacing
@@ -167,10 +167,10 @@
             whole = sum(moved for _, moved, *_ in moves)
             wanted = [row for row in moves if self.news or not users or row[0] == OUT]
             found += [((row[0], -whole, -row[1]), table, users, row) for row in wanted]
-        self.news, again = False, 0
+        self.news, again, quiet = False, 0, not any(row[0] < TOLD for *_, row in found)
         for _, table, users, (turn, _, name, weight) in sorted(found, key=lambda row: row[0]):
-            if users and self.channel.load() >= limit:
-                self.news = True
+            if users and (self.channel.load() >= limit or (turn == TOLD and not quiet)):
+                self.news = turn < TOLD
                 break
             again += turn == TOLD and self.channel.cost(users, 1)
             self.line(table, users, name, weight)
