--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -440,7 +440,7 @@
                 up.rest = min(2 * up.rest, 4 * REST) or REST
                 up.sick, up.out_until = True, now + up.rest
                 self.host.log(f"{name} is out: {errors:.0f} of {tries:.0f} dropped, usual {usual:.2f}")
-            if up.sick != was:
+            if up.sick and not was:
                 self.order_after, self.news = now, True
 
     def find_cuts(self, now: int) -> None:
