What a zone keeps is found again when hosts are withdrawn

Cause: spill was found at solves only, up to 3 s and a wave after the withdrawals. Ruled out: throttling (room 1.40 throughout), the list (told within its time), overdue orders (0). Now it is found again as withdrawals go to most proxies, and rides with them.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -132,6 +132,8 @@
                 self.channel.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
                 table.owed = dict.fromkeys(table.sent)
             del self.joined[proxy]
+        for table in self.tables if riding else ():
+            self.spill(now, table)
         if riding or (now >= self.order_after and self.channel.load() < limit / 2):
             self.tune(now, self.tables, self.wave())
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
