While calls are throttled, neither lines nor hosts that come in wait for a wave

Cause: rules.py let what comes back wait also when it is what is lacking. Now it does so only while nothing is throttled.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -444,3 +444,22 @@
         stage.pass_time(SECOND // 10)
     assert before < 0.2 and near.far > 2 * before
     assert stage.weights(near.number)["h1"] > 2 * before  # in the same message
+
+
+def test_while_calls_are_throttled_a_host_that_comes_in_waits_for_no_solve() -> None:
+    waits = []
+    for room in (1.4, 0.8):
+        stage = started(Stage())
+        for _ in range(12):
+            for k in range(8):
+                stage.hear(f"h{k}", 10, 0, 100, busy=0.8)
+            stage.come(0, "read", 10)
+            stage.pass_time(SECOND)
+        stage.director.solve_at = stage.director.news_at = stage.now + 9 * SECOND
+        stage.director.room, stage.director.news, start = room, False, stage.now
+        stage.list({"h8": ("in_service", 0)}, whole=False)
+        stage.over()
+        while "h8" not in stage.weights():
+            stage.pass_time(SECOND // 10)
+        waits.append(stage.now - start)
+    assert waits[1] <= SECOND < 8 * SECOND < waits[0]
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -117,7 +117,7 @@
         self.guard(now)
         # where messages go to most anyway, what moved goes with them
         riding = 2 * len(self.channel.moment) > len(self.proxies)
-        self.news = self.news or riding
+        self.news = self.news or riding or (self.room < OPEN and now >= self.order_after)
         # what keeps rules waits for nothing else
         limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
         for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
@@ -197,7 +197,8 @@
             moved = abs(math.log(weight / old)) if weight and old else MOVED if weight or old else 0.0
             if moved > quantum:
                 last = self.hosts[name].withdrawn
-                turn = FAR if last or weight else OUT
+                hurry = not weight or (not old and self.room < OPEN)
+                turn = OUT if hurry and not last else FAR
                 found.append((turn, moved * part * (not last), name, weight))
             elif name in table.owed and weight and now >= self.resend_at:
                 found.append((TOLD, 0.0, name, weight))
