Every wave waits until its lines are paid for, also the rest of one that was cut

Ruled out: rows beside charge (equal), streams ended by the director (none then). Payment is back for all.

--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -137,7 +137,7 @@
         if riding or (now >= self.order_after and self.channel.load() < limit / 2):
             self.tune(now, self.tables, self.wave())
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
-            self.order_after = now + (BEAT if self.news else max(BEAT, int(spent)))
+            self.order_after = now + max(BEAT, int(spent))
         if self.channel.moment:
             self.host.mark(self.channel.send(now), False)  # answered by `mark_answered`, so arrival is known
             self.send_after = now + self.spacing
