Who brings a table along is bound after the first solve; a kind is worth its middle host

Besides: four of eleven big-fast stood at 0.98 of their cores and 700 to 2000 ms, and that kind counted 1.15 beside 1.01 of mid-slow, where its other hosts answer twice as much. Causes: moment_over in rules.py bound at once, in place of what others had learnt, and brought a table that nobody uses up to date only after; appraise pooled a kind's hosts, so that a few in trouble spoke for all. A table with nothing open that guard filled took away the news of all others. Ruled out: the list, throttling (room 1.40), overdue orders (0).

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -290,6 +290,50 @@
     assert 2.5 < stage.weights()["h1"] / stage.weights()["h0"] < 3.5
 
 
+def test_some_of_a_kind_in_trouble_do_not_change_what_the_kind_is_worth() -> None:
+    """Guards against weights that favour slow kinds while four of eleven fast hosts are stuck."""
+    stage = started(Stage(facts(weights="none")))
+    for _ in range(4):
+        for k in range(8):
+            stuck = k == 1
+            stage.hear(f"h{k}", 2 if stuck else 10 + 10 * (k % 2), 0, 200, 1.0 if stuck else 0.5)
+        stage.pass_time(SECOND)
+    assert abs(stage.director.hosts["h3"].size / stage.director.hosts["h2"].size - 2) < 0.01
+
+
+def test_who_brings_a_table_is_bound_after_the_first_solve_of_a_director_that_starts() -> None:
+    """Guards against binding a fleet to equal weights, in place of those that others have learnt."""
+    stage = Stage()
+    stage.list({f"h{k}": READY for k in range(8)})
+    stage.join(0, fresh=False)
+    stage.join(1)
+    stage.over()
+    assert set(stage.host.bound) == {1}
+    stage.list({"h0": ("terminating", 0)}, whole=False)  # withdrawals do not wait
+    stage.over()
+    assert stage.host.out["h0"]
+    for k in range(1, 8):
+        stage.hear(f"h{k}", 20, 0, 400 if k == 2 else 200)
+    stage.pass_time(SECOND)
+    assert set(stage.host.bound) == {0, 1} and stage.weights()["h2"] < stage.weights()["h4"]
+
+
+def test_who_brings_a_table_does_not_wait_for_long_nor_while_most_hosts_are_gone() -> None:
+    stage = Stage()
+    stage.list({f"h{k}": READY for k in range(8)})
+    stage.join(0, fresh=False)
+    stage.pass_time(2 * SECOND)
+    assert 0 not in stage.host.bound
+    stage.pass_time(3 * SECOND // 2)
+    assert 0 in stage.host.bound
+    stage = Stage()
+    stage.list({f"h{k}": READY for k in range(8)})
+    stage.join(0, fresh=False)
+    stage.list({f"h{k}": ("terminating", 0) for k in range(4)}, whole=False)
+    stage.pass_time(SECOND)
+    assert 0 in stage.host.bound
+
+
 def test_idle_hosts_that_refuse_most_tries_are_dealt_out_for_a_while() -> None:
     stage = started(Stage(), hosts=40, proxies=40)
     for second in range(60):
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -81,6 +81,7 @@
         self.news, self.news_at, self.resend_at = True, now, 0  # weights may have moved; lines be told again
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
+        self.learning = now + SOLVE_EVERY  # till its first solve at most: proxies' tables know more
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
@@ -120,9 +121,14 @@
         self.news = self.news or riding or (self.room < OPEN and now >= self.order_after)
         # what keeps rules waits for nothing else
         limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
+        known = now < self.learning and 2 * sum(up.withdrawn for up in self.hosts.values()) < len(self.hosts)
+        # a table that nobody uses yet is brought up to date before anyone is bound, and costs nothing
+        self.tune(now, [table for table in self.tables if self.joined and not self.users(table)], limit)
         for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
             if self.channel.load() >= limit:
                 break
+            if known and self.joined[proxy][2]:
+                continue  # it brought along what others have learnt
             self.bound[proxy] = self.groups.get(proxy, -1)
             if self.joined[proxy][2] and self.facts.keeps_shut:
                 self.let_back(now, proxy)
@@ -135,7 +141,7 @@
         for table in self.tables if riding else ():
             self.spill(now, table)
         if riding or (now >= self.order_after and self.channel.load() < limit / 2):
-            self.tune(now, self.tables, self.wave())
+            self.news = self.tune(now, self.tables, self.wave())
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
             self.order_after = now + max(BEAT, int(spent))
         if self.channel.moment:
@@ -151,9 +157,11 @@
             self.host.let_back(proxy, back)
             self.channel.charge([proxy], len(back))
 
-    def tune(self, now: int, tables: list[Table], limit: float) -> None:
+    def tune(self, now: int, tables: list[Table], limit: float) -> bool:
         """Sends levels and hosts in or out, then lines that moved, the furthest first, then those owed.
 
+        True if lines that moved are left.
+
         A message costs as much as several lines, so lines wait for a solve, and a table goes in one wave.
         """
         found, shares = [], self.shares()
@@ -169,14 +177,15 @@
             whole = sum(moved for _, moved, *_ in moves)
             wanted = [row for row in moves if self.news or not users or row[0] == OUT]
             found += [((row[0], -whole, -row[1]), table, users, row) for row in wanted]
-        self.news, again, quiet = False, 0, not any(row[0] < TOLD for *_, row in found)
+        left, again, quiet = False, 0, not any(row[0] < TOLD for *_, row in found)
         for _, table, users, (turn, _, name, weight) in sorted(found, key=lambda row: row[0]):
             if users and (self.channel.load() >= limit or (turn == TOLD and not quiet)):
-                self.news = turn < TOLD
+                left = turn < TOLD
                 break
             again += turn == TOLD and self.channel.cost(users, 1)
             self.line(table, users, name, weight)
         self.resend_at = max(self.resend_at, now + int(again / (self.rate * RESEND_RATE)))
+        return left
 
     def moves(self, now: int, table: Table, users: list[int]) -> list[tuple[int, float, str, float]]:
         """The lines worth sending, with the turn of each and how far it moved."""
@@ -243,13 +252,12 @@
 
     def appraise(self, now: int, sums: dict[str, list[float]]) -> None:
         """Where no weight is listed, a kind of host is worth the calls it answers for its cores in use."""
-        pools: dict[str, list[float]] = {}
+        told: dict[str, list[float]] = {}  # by its middle host: some of a kind may be in trouble
         for name, (tries, errors, _) in sums.items():
             up = self.hosts[name]
             if tries > errors and now - up.busy_at < FRESH and not self.cold(now, up):
-                pool = pools.setdefault(up.kind, [0.0, 0.0])
-                pool[0], pool[1] = pool[0] + tries - errors, pool[1] + max(up.busy, FLOOR)
-        worth = {kind: answered / busy for kind, (answered, busy) in pools.items()}
+                told.setdefault(up.kind, []).append((tries - errors) / max(up.busy, FLOOR))
+        worth = {kind: median(rows) for kind, rows in told.items()}
         known = [worth[up.kind] for up in self.hosts.values() if up.kind in worth]
         for up in self.hosts.values():
             up.size = worth[up.kind] * len(known) / sum(known) if up.kind in worth else 1.0
@@ -594,6 +602,7 @@
             self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
         if now >= self.solve_at:
             solved = self.solve(now)
+            self.learning = 0 if solved else self.learning
             self.solve_at = now + (SOLVE_EVERY if solved else BEAT)
             if solved or now >= self.news_at:
                 self.news, self.news_at = True, now + SOLVE_EVERY
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -67,6 +67,7 @@
         self.number, self.routes, self.like, self.zone = number, routes, like, zone
         self.group, self.only = group, list[Upstream]()  # narrow: of a group of proxies, with these hosts
         self.far = 1.0  # what hosts elsewhere count there
+        self.kept = 1.0  # of what weights say its zone can keep, what loads have left of it
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
         self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
