A director that starts binds nobody to equal weights: all binds wait for its first solve

Seen on sockets, reload (a probe of the module four times a second): 75 proxies were bound to equal weights from 1.0 to 2.5 s, the first solve was at 1.8 s, and its wave reached one zone at 3.3 s and the other at 5.7 s, as each wave waits for the payment of the last; 24% of the calls of the first five seconds were lost, 14% of the next. Cause: moment_over in rules.py bound who holds a standing table at once, which has no more to say than the equal weights, and then paid for two waves to put it right. Ruled out: the list (warm copy), the intake (50 tries heard at 1.8 s), CPU.

Tests of fronts whose proxies start with nothing say so (standing 0).

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -389,6 +389,7 @@
             )  # fmt: skip
             terms = replace(
                 EXAMPLE,
+                fleet=replace(EXAMPLE.fleet, standing=0),  # proxies played by hand start with nothing
                 files=replace(EXAMPLE.files, folder=str(tmp_path / "d"), proxy_lost_after_ms=20_000),
                 roster=replace(EXAMPLE.roster, url=url, wait_ms=300, timeout_ms=200),
                 records=replace(EXAMPLE.records, file=str(tmp_path / "records")),
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -91,6 +91,7 @@
             replace = msgspec.structs.replace
             terms = replace(
                 EXAMPLE,
+                fleet=replace(EXAMPLE.fleet, standing=0),  # proxies played by hand start with nothing
                 files=replace(EXAMPLE.files, folder=str(tmp_path / "d"), proxy_lost_after_ms=20_000),
                 roster=replace(EXAMPLE.roster, url=url, wait_ms=300, timeout_ms=200),
                 records=replace(EXAMPLE.records, file=str(tmp_path / "records")),
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -158,6 +158,7 @@
             service = Service(
                 replace(
                     EXAMPLE,
+                    fleet=replace(EXAMPLE.fleet, standing=0),  # proxies played by hand start with nothing
                     files=files,
                     roster=asked,
                     records=kept,
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -127,8 +127,8 @@
         for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
             if self.channel.load() >= limit:
                 break
-            if known and self.joined[proxy][2]:
-                continue  # it brought along what others have learnt
+            if known and (self.joined[proxy][2] or self.facts.fleet.standing):
+                continue  # it brought along what others have learnt, or at least what the list says
             self.bound[proxy] = self.groups.get(proxy, -1)
             if self.joined[proxy][2] and self.facts.keeps_shut:
                 self.let_back(now, proxy)
