A wave waits for answers of the last one, and the rest of one that was cut no longer for payment

Now a wave goes only while the lines that no answer proves to have left are less than a wave, so two waves at most, 0.8 of what may wait, can meet a channel that stalls; a new test breaks the limit without it (4000 of 3200 lines). The rest of a cut wave goes a beat later again. Who holds a standing table waits to be bound only where no weight is listed.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -458,6 +458,21 @@
     assert stage.director.channel.queue + 40 * 8 <= left * terms.channel.lines_per_s / SECOND + 40
 
 
+def test_waves_into_a_channel_that_stalls_wait_for_answers_of_the_last() -> None:
+    """Guards against rule 5, as on the long day: three waves within what an answer takes to be missed."""
+    terms = facts(channel__order_price=0.001, channel__late_most=15_000)
+    stage = started(Stage(terms), hosts=40, proxies=40)
+    stage.pass_time(20 * SECOND)
+    highest = 0.0
+    for step in range(8):
+        for k, up in enumerate(stage.director.hosts.values()):
+            up.factor = 1.6 if (k + step) % 2 else 0.6
+        stage.director.news = True
+        stage.pass_time(SECOND // 2, 0.0)
+        highest = max(highest, stage.host.queue)
+    assert 0.2 < highest / terms.channel.most_waiting < 0.85
+
+
 def test_what_is_told_again_takes_a_twentieth_of_the_rate() -> None:
     stage = started(Stage(), hosts=40, proxies=40)
     stage.pass_time(15 * SECOND)
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -51,6 +51,7 @@
         self.chance = random.Random(seed).random
         self.width = max(facts.fleet.period, SECOND)
         self.lag = facts.channel.late + self.width * 3 // 2 + SECOND  # from an order to reports that show it
+        self.listed = facts.weights in ("nominal", "rough")  # a listed size tells of worth
         self.probing = facts.probes and facts.fleet.load_reports == "probe"
         self.hosts: dict[str, Upstream] = {}
         self.cuts: list[str] = []  # zones that cannot be reached from here
@@ -127,8 +128,8 @@
         for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
             if self.channel.load() >= limit:
                 break
-            if known and (self.joined[proxy][2] or self.facts.fleet.standing):
-                continue  # it brought along what others have learnt, or at least what the list says
+            if known and (self.joined[proxy][2] or (self.facts.fleet.standing and not self.listed)):
+                continue  # it brought along what others have learnt, or as much as the list says
             self.bound[proxy] = self.groups.get(proxy, -1)
             if self.joined[proxy][2] and self.facts.keeps_shut:
                 self.let_back(now, proxy)
@@ -140,10 +141,13 @@
             del self.joined[proxy]
         for table in self.tables if riding else ():
             self.spill(now, table)
-        if riding or (now >= self.order_after and self.channel.load() < limit / 2):
-            self.news = self.tune(now, self.tables, self.wave())
+        # a wave, or the rest of one that was cut, also waits for answers: a channel that slows shows late
+        wave = self.wave()
+        calm = now >= self.order_after and self.channel.load() < limit / 2
+        if riding or (calm and self.channel.unproven() < wave):
+            self.news = self.tune(now, self.tables, wave)
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
-            self.order_after = now + max(BEAT, int(spent))
+            self.order_after = now + (BEAT if self.news else max(BEAT, int(spent)))
         if self.channel.moment:
             self.host.mark(self.channel.send(now), False)  # answered by `mark_answered`, so arrival is known
             self.send_after = now + self.spacing
@@ -236,7 +240,7 @@
         latency = {name: s / (t - e) for name, (t, e, s) in sums.items() if t - e >= 2 and s > 0}
         if not latency or (len(latency) < len(sums) / 2 and now < self.born + SOLVE_EVERY):
             return False
-        if self.facts.weights not in ("nominal", "rough"):
+        if not self.listed:
             self.appraise(now, sums)
         alike: dict[float, list[float]] = {}  # what base weights say of speed is not counted twice
         for name, late in latency.items():
@@ -375,7 +379,7 @@
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
             up.anew = mode == up.mode == "in_service" and not up.withdrawn  # then readmitted at its ramp
-        if self.facts.weights in ("nominal", "rough"):
+        if self.listed:
             up.size = size
         up.mode, up.started, up.kind, up.zone = mode, started, kind, zone
         self.listing.append(name)
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -115,6 +115,11 @@
                 del book[: i + 1]
                 return
 
+    def unproven(self) -> int:
+        """Lines of which no answer, their own or a later one's, shows yet that they have left."""
+        books = self.waiting.values()
+        return sum(lines for book in books for _, lines, due in book if due > self.passed)
+
     def look(self, now: int, lost: int) -> None:
         """Sums what is overdue; what is so for longer than `lost` is lost."""
         since, books = max(self.passed, now - lost), self.waiting.values()
