Lines that no answer proves to have left count as waiting; an answer proves none of its moment

Causes, by reading the estimate beside that: an answer marked its whole moment as left (state.py, answered), though a wave of 1400 lines takes a second to leave and its first answer comes after a tenth; so a channel that slows was never overdue; and tables that ride with withdrawals (rules.py, moment_over) did not wait for any answer. Ruled out: rows beside charge (tests), streams ended by the director (none).

Now an answer proves earlier moments and its own message only; what is unproven, less what can be on its way, is the least that waits, whatever the estimate at the stated rate says; riding waves wait too. The fake host of the tests answered all at once when its queue was empty; it answers in turn now, as a channel does.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -40,7 +40,8 @@
     queue: float = 0.0
     messages: dict[int, list[int]] = field(default_factory=dict)
     moment: dict[int, int] = field(default_factory=dict)
-    marks: list[tuple[int, int]] = field(default_factory=list)  # proxy, number: not yet answered
+    marks: list[tuple[int, int, float]] = field(default_factory=list)  # proxy, number, lines up to it
+    total: float = 0.0  # lines ever ordered
     probes: list[str] = field(default_factory=list)
     number: int = -1
 
@@ -104,15 +105,16 @@
     def sent(self) -> None:
         for proxy, lines in self.moment.items():
             self.queue += lines + self.terms.channel.head_lines + 1
+            self.total += lines + self.terms.channel.head_lines + 1
             self.messages.setdefault(proxy, []).append(self.now)
-            self.marks.append((proxy, self.number))
+            self.marks.append((proxy, self.number, self.total))
         self.moment.clear()
 
     def leave(self, proxy: int) -> None:
         self.joined.pop(proxy)
         self.bound.pop(proxy, None)
         self.messages.pop(proxy, None)
-        self.marks = [(p, n) for p, n in self.marks if p != proxy]
+        self.marks = [row for row in self.marks if row[0] != proxy]
 
 
 class Stage:
@@ -137,10 +139,10 @@
             drained = self.host.terms.channel.lines_per_s * speed * (at - self.now) / SECOND
             self.host.queue = max(0.0, self.host.queue - drained)
             self.host.now = at
-            if self.host.queue <= 0:
-                marks, self.host.marks = self.host.marks, []
-                for proxy, number in marks:
-                    self.director.mark_answered(at, proxy, number, 0)
+            left = self.host.total - self.host.queue + 1e-6
+            while self.host.marks and self.host.marks[0][2] <= left:  # messages leave in turn
+                proxy, number, _ = self.host.marks.pop(0)
+                self.director.mark_answered(at, proxy, number, 0)
             if due > end:
                 return
             keys = [k for t, k in self.host.timers if t <= at]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -248,11 +248,32 @@
         assert channel.send(0) == number
     channel.look(6000, 50_000)
     assert channel.overdue == 68
-    channel.answered(1, 1)  # the second message may still wait, to both
+    channel.answered(1, 1)  # the rest of its moment may still wait, and the second message to both
     channel.look(6000, 50_000)
-    assert channel.overdue == 34
+    assert channel.overdue == channel.unproven() == 51
+    channel.answered(1, 2)
+    channel.look(6000, 50_000)
+    assert channel.overdue == 17
     channel.look(60_000, 50_000)
-    assert channel.overdue == 0
+    assert channel.overdue == channel.unproven() == 0
+
+
+def test_lines_that_no_answer_proves_to_have_left_count_as_waiting_but_for_those_on_their_way() -> None:
+    """Guards against rule 5 while a channel stalls, which the estimate at the stated rate does not know."""
+    channel = Channel(0.16, 7, 4000, 0)
+    channel.waiting.update({proxy: [] for proxy in range(50)})
+    channel.charge([*range(50)], 33)
+    channel.send(0)
+    channel.drain(10_000)
+    assert channel.queue == 400 and channel.load() == 2000 - 640
+    channel.drain(20_000)
+    assert channel.queue == 0 and channel.load() == 2000 - 640
+    channel.charge([0], 3)
+    assert channel.load() == 2010 - 640
+    channel.send(20_000)
+    channel.answered(0, 2)
+    channel.drain(20_000)
+    assert channel.load() == 10
 
 
 def test_a_cold_host_is_readmitted_when_nobody_waits_to_be_bound() -> None:
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -12,10 +12,10 @@
 from statistics import median
 
 from .host import Facts, Host
-from .state import Channel, Ring, Table, Upstream, cap, middle
+from .state import NEVER, Channel, Ring, Table, Upstream, cap, middle
 
 # Time, in tenths of a millisecond.
-SECOND, BEAT, NEVER = 10_000, 5_000, 1 << 60  # a beat is between looks at health and levels
+SECOND, BEAT = 10_000, 5_000  # a beat is between looks at health and levels
 BUCKETS = 4  # of a reporting period or a second, for a judgement of a host
 # Weights: the design's, all open values.
 SOLVE_EVERY, DAMPING = 3 * SECOND, 0.5  # between steps; of the gap to the target, a step
@@ -144,7 +144,7 @@
         # a wave, or the rest of one that was cut, also waits for answers: a channel that slows shows late
         wave = self.wave()
         calm = now >= self.order_after and self.channel.load() < limit / 2
-        if riding or (calm and self.channel.unproven() < wave):
+        if (riding or calm) and self.channel.unproven() < wave:
             self.news = self.tune(now, self.tables, wave)
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
             self.order_after = now + (BEAT if self.news else max(BEAT, int(spent)))
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -6,6 +6,8 @@
 
 from .host import Route
 
+NEVER = 1 << 60  # a time, in tenths of a millisecond
+
 
 class Ring:
     """Sums in fixed buckets of time, used again in a ring."""
@@ -78,49 +80,64 @@
 
     def __init__(self, rate: float, head: int, late: int, now: int) -> None:
         self.rate, self.head, self.late = rate, head, late  # lines a tick, of a head; a message's longest way
-        self.queue, self.overdue, self.drained_at, self.passed, self.mark = 0.0, 0.0, now, now, 0
-        self.waiting: dict[int, list[tuple[int, int, int]]] = {}  # by proxy: mark, lines, when it is due
+        self.queue, self.overdue, self.drained_at, self.since, self.mark = 0.0, 0.0, now, now, 0
+        self.floor = 0.0  # lines that wait for certain, at the stated rate or any lower
+        self.turn, self.passed = (
+            0,
+            0,
+        )  # moments sent, and those that left whole; what was due by `since` is lost
+        self.waiting: dict[int, list[tuple[int, int, int, int]]] = {}  # by proxy: mark, lines, due, turn
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
 
     def load(self) -> float:
-        return self.queue + self.overdue
+        return max(self.queue + self.overdue, self.floor)
 
     def cost(self, proxies: list[int], lines: int) -> int:
         return lines * len(proxies) + self.head * sum(proxy not in self.moment for proxy in proxies)
 
     def charge(self, proxies: list[int], lines: int) -> None:
-        self.queue += self.cost(proxies, lines)
+        cost = self.cost(proxies, lines)
+        self.queue, self.floor = self.queue + cost, self.floor + cost
         for proxy in proxies:
             self.moment[proxy] = self.moment.get(proxy, self.head) + lines
 
     def drain(self, now: int) -> None:
         self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
         self.drained_at = now
+        # what left within a message's longest way may not be answered yet; the rest still waits
+        self.floor = max(0.0, self.unproven() - self.rate * self.late)
 
     def send(self, now: int) -> int:
         """Books the moment's messages under one mark, and gives it."""
         self.mark = (self.mark + 1) % 65536
         due = now + int(self.load() / self.rate) + self.late
+        self.turn += 1
         for proxy, lines in self.moment.items():
-            self.waiting[proxy].append((self.mark, lines, due))
+            self.waiting[proxy].append((self.mark, lines, due, self.turn))
         self.moment.clear()
         return self.mark
 
     def answered(self, proxy: int, number: int) -> None:
-        """Messages leave in turn: what was sent before an answered one has left."""
+        """Messages leave in turn: what was sent in moments before an answered one has left.
+
+        Of its own moment it proves nothing: a wave takes a second to leave, and its first answer comes early.
+        """
         book = self.waiting.get(proxy, [])
-        for i, (mark, _, due) in enumerate(book):
+        for i, (mark, _, _, turn) in enumerate(book):
             if mark == number:
-                self.passed = max(self.passed, due)
+                self.passed = max(self.passed, turn - 1)
                 del book[: i + 1]
                 return
 
     def unproven(self) -> int:
         """Lines of which no answer, their own or a later one's, shows yet that they have left."""
-        books = self.waiting.values()
-        return sum(lines for book in books for _, lines, due in book if due > self.passed)
+        return self._left(self.since, NEVER)
 
     def look(self, now: int, lost: int) -> None:
         """Sums what is overdue; what is so for longer than `lost` is lost."""
-        since, books = max(self.passed, now - lost), self.waiting.values()
-        self.overdue = sum(lines for book in books for _, lines, due in book if since < due < now)
+        self.since = now - lost
+        self.overdue = self._left(self.since, now)
+
+    def _left(self, since: int, until: int) -> int:
+        rows = [row for book in self.waiting.values() for row in book if row[3] > self.passed]
+        return sum(lines for _, lines, due, _ in rows if since < due < until)
