The stand-in module of swaps asks for the list again when a question for it was lost

Checked by a probe that delays the roster's first answer past the test's 0.2 s: it fails each time. Cause: Churn in trial/swaps.py ignored list_lost, and the list is asked for again only when the module orders it. Ruled out: the fronts and rules.py (not part of that test).

--- a/willowhook/trial/swaps.py
+++ b/willowhook/trial/swaps.py
@@ -88,10 +88,13 @@
         self.mark = (self.mark + 1) % 65536
         self.host.mark(self.mark, False)
 
+    def list_lost(self, now: int) -> None:
+        self.host.watch(True)  # it is asked for again only when ordered: one question may be lost at a start
+
     def ignore(self, *told: Any) -> None:
         """What is heard changes nothing here."""
 
-    mark_answered = hosts_heard = calls_came = probe_done = list_lost = ignore
+    mark_answered = hosts_heard = calls_came = probe_done = ignore
 
 
 class TimedShelf(Shelf):
