--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -123,13 +123,16 @@
         # what keeps rules waits for nothing else
         limit = 0.0 if any(not self.hosts[name].withdrawn for name in self.shifted) else self.limit()
         known = now < self.learning and 2 * sum(up.withdrawn for up in self.hosts.values()) < len(self.hosts)
+        standing = self.facts.fleet.standing and not self.listed  # a standing table says as much as the list
+        due = [proxy for proxy, (*_, learnt) in self.joined.items() if not (known and (learnt or standing))]
+        due = sorted(due, key=self.joined.__getitem__) if self.channel.load() < limit else []
         # a table that nobody uses yet is brought up to date before anyone is bound, and costs nothing
-        self.tune(now, [table for table in self.tables if self.joined and not self.users(table)], limit)
-        for proxy in sorted(self.joined, key=self.joined.__getitem__) if self.channel.load() < limit else ():
+        unused = [table for table in self.tables if due and not self.users(table)]
+        if unused:
+            self.tune(now, unused, limit)
+        for proxy in due:
             if self.channel.load() >= limit:
                 break
-            if known and (self.joined[proxy][2] or (self.facts.fleet.standing and not self.listed)):
-                continue  # it brought along what others have learnt, or as much as the list says
             self.bound[proxy] = self.groups.get(proxy, -1)
             if self.joined[proxy][2] and self.facts.keeps_shut:
                 self.let_back(now, proxy)
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -69,7 +69,6 @@
         self.number, self.routes, self.like, self.zone = number, routes, like, zone
         self.group, self.only = group, list[Upstream]()  # narrow: of a group of proxies, with these hosts
         self.far = 1.0  # what hosts elsewhere count there
-        self.kept = 1.0  # of what weights say its zone can keep, what loads have left of it
         self.sent: dict[str, float] = {}
         self.levels: dict[int, tuple[int, float]] = {}  # by route: tries and level, as ordered
         self.owed: dict[str, None] = {}  # lines to send again, as proxies were bound since they went out
@@ -80,12 +79,10 @@
 
     def __init__(self, rate: float, head: int, late: int, now: int) -> None:
         self.rate, self.head, self.late = rate, head, late  # lines a tick, of a head; a message's longest way
-        self.queue, self.overdue, self.drained_at, self.since, self.mark = 0.0, 0.0, now, now, 0
+        self.queue, self.overdue, self.drained_at, self.mark = 0.0, 0.0, now, 0
+        self.since = now  # what was due by then is lost
         self.floor = 0.0  # lines that wait for certain, at the stated rate or any lower
-        self.turn, self.passed = (
-            0,
-            0,
-        )  # moments sent, and those that left whole; what was due by `since` is lost
+        self.turn, self.passed = 0, 0  # moments sent, and those that have left whole
         self.waiting: dict[int, list[tuple[int, int, int, int]]] = {}  # by proxy: mark, lines, due, turn
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
 
