--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -43,6 +43,7 @@
     marks: list[tuple[int, int, float]] = field(default_factory=list)  # proxy, number, lines up to it
     total: float = 0.0  # lines ever ordered
     probes: list[str] = field(default_factory=list)
+    shut: dict[int, list[str]] = field(default_factory=dict)  # by proxy: told that they went before it came
     number: int = -1
 
     def after(self, delay: int, key: int) -> None:
@@ -78,6 +79,11 @@
         self.withdrawals += on
         self._charge(list(self.joined), 1)
 
+    def shut_out(self, proxy: int, hosts: list[str]) -> None:
+        assert self.terms.keeps_shut and proxy in self.joined
+        self.shut.setdefault(proxy, []).extend(hosts)
+        self._charge([proxy], len(hosts))
+
     def forget(self, host: str) -> None:
         assert not any(host in book for book in self.lines.values())
         self.out.pop(host)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -240,6 +240,41 @@
     assert stage.host.withdrawals == told + 1 and stage.host.out["h0"]
 
 
+def test_who_waits_to_be_bound_is_told_of_all_that_went_before_it_joined_however_long_ago() -> None:
+    stage = started(Stage(facts(keeps_shut=True, rules__drain_grace=4 * SECOND)), hosts=60)
+    stage.pass_time(SECOND)
+    for k in range(3):
+        stage.list({f"h{k}": ("terminating", 0)}, whole=False)
+        stage.over()
+        stage.pass_time(4 * SECOND)
+    for proxy in range(60, 160):  # a fresh one holds hosts of the list at its start
+        stage.join(proxy, fresh=proxy % 2 == 0)
+    stage.over()
+    stage.pass_time(SECOND)
+    waiting = [p for p in range(60, 160) if p not in stage.host.bound]
+    assert len(waiting) > 10
+    stage.pass_time(SECOND // 2)
+    assert all(set(stage.host.shut[p]) == {"h0", "h1", "h2"} for p in waiting)
+    stage.pass_time(4 * SECOND)
+    assert all(len(told) == 3 for told in stage.host.shut.values())
+
+
+def test_what_may_wait_at_the_most_is_all_that_no_answer_proves_to_have_left() -> None:
+    channel = Channel(0.16, 7, 4000, 0)
+    channel.waiting.update({0: [], 1: []})
+    channel.charge([0, 1], 300)
+    assert channel.ceiling() == 614
+    channel.send(0)
+    channel.drain(3000)  # at the stated rate 480 have left: one that slowed down may hold them all
+    assert channel.load() == 134 and channel.ceiling() == 614
+    channel.charge([0], 10)
+    assert channel.ceiling() == 631
+    channel.send(3000)
+    channel.answered(0, 1)
+    channel.drain(3000)
+    assert channel.ceiling() == 307 + 17
+
+
 def test_messages_leave_in_turn_and_what_is_long_overdue_is_lost() -> None:
     channel = Channel(0.16, 7, 4000, 0)
     channel.waiting.update({0: [], 1: []})
--- a/willowhook/benchlink/link.py
+++ b/willowhook/benchlink/link.py
@@ -66,6 +66,9 @@
     def bind(self, proxy: int, table: int, routes: int) -> None:
         self._put("USE_TABLE", self._who, str(proxy), str(table), str(routes))
 
+    def shut_out(self, proxy: int, hosts: list[str]) -> None:
+        """Never ordered: on this wire a withdrawal goes to all joined proxies."""
+
     def let_back(self, proxy: int, hosts: list[str]) -> None:
         """Never ordered: on this wire a bound proxy obeys the withdrawals of its director alone."""
 
--- a/willowhook/director/book.py
+++ b/willowhook/director/book.py
@@ -122,8 +122,10 @@
         out = sum(host in self._withdrawn for host in state.lines)
         self._charge([proxy], 1 + len(state.lines) + len(state.levels) + len(self._levels) + out)
 
-    def let_back(self, proxy: int, hosts: list[str]) -> None:
-        """Never ordered: a message here holds the whole of what its proxy is to do."""
+    def shut_out(self, proxy: int, hosts: list[str]) -> None:
+        """Never ordered, nor is the next: a message here holds the whole of what its proxy is to do."""
+
+    def let_back(self, proxy: int, hosts: list[str]) -> None: ...
 
     def allow(self, table: int, routes: int, tries: int, level: float) -> None:
         if table == ALL_TABLES:
--- a/willowhook/director/run.py
+++ b/willowhook/director/run.py
@@ -70,7 +70,7 @@
             service.follow,
             service.fetch,
         )
-        self.let_back, self.forget = book.let_back, book.forget
+        self.shut_out, self.let_back, self.forget = book.shut_out, book.let_back, book.forget
         self.probe, self.line, self.clear, self.bind = service.probe, book.line, book.clear, book.bind
         self.allow, self.mark = book.allow, book.mark
         self._service = service
--- a/willowhook/frames/orders.py
+++ b/willowhook/frames/orders.py
@@ -118,10 +118,16 @@
         stream.anew[table] = None
         self._touched[proxy] = None
 
+    def shut_out(self, proxy: int, hosts: list[str]) -> None:
+        self._shut(proxy, dict.fromkeys(hosts, True))
+
     def let_back(self, proxy: int, hosts: list[str]) -> None:
+        self._shut(proxy, dict.fromkeys(hosts, False))
+
+    def _shut(self, proxy: int, hosts: dict[str, bool]) -> None:
         stream = self._streams.get(proxy)
         if stream is not None:
-            stream.shut.update(dict.fromkeys(hosts, False))
+            stream.shut.update(hosts)
             self._touched[proxy] = None
 
     def allow(self, table: int, routes: int, tries: int, level: float) -> None:
--- a/willowhook/host.py
+++ b/willowhook/host.py
@@ -25,6 +25,7 @@
     def withdraw(self, host: str, on: bool) -> None: ...  # whatever tables the joined proxies hold
     def forget(self, host: str) -> None: ...  # it has gone for good: nothing will be ordered of it
     def bind(self, proxy: int, table: int, routes: int) -> None: ...  # rds: a bit a route, 0: all
+    def shut_out(self, proxy: int, hosts: list[str]) -> None: ...  # withdrawn before it joined
     def let_back(self, proxy: int, hosts: list[str]) -> None: ...  # whom other directors may have shut out
     def allow(self, table: int, routes: int, tries: int, level: float) -> None: ...
     def mark(self, number: int, everyone: bool) -> None: ...  # answered by `mark_answered`
--- a/willowhook/node/director.py
+++ b/willowhook/node/director.py
@@ -49,7 +49,8 @@
         self._module = Director(self, facts, start.seed, self._clock.now())
         # orders on proxies go where streams are known
         self.line, self.clear, self.withdraw = self._orders.line, self._orders.clear, self._orders.withdraw
-        self.bind, self.let_back, self.forget = self._orders.bind, self._orders.let_back, self._orders.forget
+        self.bind, self.forget = self._orders.bind, self._orders.forget
+        self.shut_out, self.let_back = self._orders.shut_out, self._orders.let_back
         self.allow, self.mark = self._orders.allow, self._orders.mark
         after = -1
         try:
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -25,7 +25,8 @@
 TUNING_RATE, PAYBACK = 0.5, 2 * SECOND  # of the channel's rate, the most; by when a line earns its price
 WAVE, RESEND_RATE = 0.4, 0.05  # of the lines that may wait, a table's wave; of the rate, what is told again
 GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
-NEARLY, OF_LATE = 0.95, 5 * SECOND  # of the lines that may wait, withdrawals fill; they are told again
+NEARLY = 0.95  # of the lines that may wait, withdrawals fill
+REMIND = 4  # who waits to be bound for a quarter of the grace is told who went before it joined
 GONE = (
     30 * SECOND
 )  # after its withdrawal, a host that is gone is forgotten: no stream waits so long for a table
@@ -81,7 +82,8 @@
         self.order_after, self.send_after, self.solve_at = 0, now, now
         self.news, self.news_at, self.resend_at = True, now, 0  # weights may have moved; lines be told again
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
-        self.joined_at, self.again, self.remind_at = 0, list[str](), NEVER  # again: to be told once more
+        self.untold: dict[int, None] = {}  # joined, and not told yet of hosts that went before
+        self.joined_at, self.remind_at = 0, NEVER
         self.learning = now + SOLVE_EVERY  # till its first solve at most: proxies' tables know more
         self.whole, self.listing = False, [""]  # the list that is coming in
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
@@ -91,8 +93,9 @@
 
     def proxy_joined(self, now: int, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         self.proxies[proxy], self.channel.waiting[proxy] = (zone, rate), []
-        if not fresh:  # it may have lost a withdrawal with its stream
-            self.remind_at, self.joined_at = min(self.remind_at, now + self.facts.rules.drain_grace // 4), now
+        # it may have lost a withdrawal with its stream, or hold hosts that went before it ever had one
+        self.untold[proxy], self.joined_at = None, now
+        self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // REMIND)
         self.joined[proxy] = (
             now // SECOND - 2 * fresh,
             -rate,
@@ -104,7 +107,7 @@
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
             book.pop(proxy, None)
-        for known in (self.proxies, self.bound, self.joined, self.channel.waiting):
+        for known in (self.proxies, self.bound, self.joined, self.untold, self.channel.waiting):
             known.pop(proxy, None)
 
     def moment_over(self, now: int) -> None:
@@ -328,14 +331,14 @@
         # while a round of messages waits, more gather for a little: a message costs more than its line
         news = [now - self.shifted[name] for name in shifted if not ups[name].withdrawn]
         age = max(news, default=0) * GATHER // self.facts.rules.drain_grace
-        fits = self.channel.load() + self.channel.cost([*self.proxies], len(news)) <= most
+        fits = self.channel.ceiling() + self.channel.cost([*self.proxies], len(news)) <= most
         wait, gather = self.channel.load() >= self.limit(), age < 3 and not (fits and age >= 1)
         for name in sorted(shifted, key=lambda name: (ups[name].withdrawn, ups[name].shifted_at)):
             up, tables = ups[name], self.having(name)
             holders = list(self.proxies) if up.withdrawn else self.holders(name)
             cost = self.channel.cost(holders, 1 + up.withdrawn * len(tables))
             early = up.withdrawn and (wait or (self.joined and self.cold(now, up)))  # tables of before
-            if early or (wait and gather) or self.channel.load() + cost > most:
+            if early or (wait and gather) or self.channel.ceiling() + cost > most:
                 left[name] = self.shifted[name]
                 continue
             for table in tables if up.withdrawn else []:  # what the old process was worth may be too much
@@ -346,23 +349,36 @@
             if up.anew:
                 up.anew, left[name] = False, now
         self.shifted = left
-        self.tell_again(most)
+        self.remind(now)
         for table in self.tables:  # filled before any proxy is bound to it, and never left with nothing open
             if self.bare(table):
                 table.only = [] if table.sent else table.only  # a narrow one that lost its hosts
                 self.spill(now, table)
                 self.tune(now, [table], most)
 
-    def tell_again(self, most: float) -> None:
-        """Repeats withdrawals that may have been lost with the streams of before."""
-        again, self.again = (self.again, []) if self.channel.load() < self.limit() else ([], self.again)
-        for name in [name for name in again if self.hosts[name].withdrawn]:
-            holders = self.holders(name)
-            if self.channel.load() + self.channel.cost(holders, 1) > most:
-                self.again.append(name)
-                continue
-            self.host.withdraw(name, True)
+    def remind(self, now: int) -> None:
+        """Tells who waits to be bound of hosts that went before it joined, the last to go first.
+
+        Whoever served it may not have known, and what it was told may have been lost with its stream.
+        """
+        if now < self.remind_at or self.channel.load() >= self.limit():
+            return
+        waiting = [proxy for proxy in self.untold if proxy in self.joined]
+        self.untold, self.remind_at = {}, NEVER
+        grace, terms, told = self.facts.rules.drain_grace, self.facts.channel, list[str]()
+        reach = self.rate * (grace - grace / REMIND - terms.late_most)  # what is told later is of no use
+        most = min(terms.most_waiting * NEARLY, max(reach, terms.most_waiting / 2))
+        gone = [name for name, up in self.hosts.items() if up.withdrawn and up.shifted_at <= self.joined_at]
+        for name in sorted(gone, key=lambda name: -self.hosts[name].shifted_at) if waiting else ():
+            holders = waiting if self.facts.keeps_shut else self.holders(name)
+            if self.channel.ceiling() + self.channel.cost(holders, 1) > most:
+                break
+            told.append(name)
             self.channel.charge(holders, 1)
+            if not self.facts.keeps_shut:
+                self.host.withdraw(name, True)
+        for proxy in waiting if told and self.facts.keeps_shut else ():
+            self.host.shut_out(proxy, told)
 
     def having(self, name: str) -> list[Table]:
         return [table for table in self.tables if name in table.sent]
@@ -400,7 +416,6 @@
         for name in [n for n in gone if now - self.hosts[n].shifted_at > GONE and not self.having(n)]:
             del self.hosts[name]
             self.shifted.pop(name, None)
-            self.again = [other for other in self.again if other != name]
             self.host.forget(name)
 
     def list_lost(self, now: int) -> None:
@@ -598,11 +613,6 @@
                 self.host.probe(name)
                 pause = PROBE_EVERY if up.busy < IDLE else PROBE_EVERY // 2
                 up.probe_at = now + int(pause * (0.5 + self.chance()))
-        if self.joined and now >= self.remind_at:
-            self.remind_at = NEVER
-            since = self.joined_at - OF_LATE
-            gone = [name for name, up in self.hosts.items() if up.withdrawn]
-            self.again = [name for name in gone if since < self.hosts[name].shifted_at <= self.joined_at]
         if 0 < self.narrow_until <= now:
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -81,7 +81,10 @@
         self.rate, self.head, self.late = rate, head, late  # lines a tick, of a head; a message's longest way
         self.queue, self.overdue, self.drained_at, self.mark = 0.0, 0.0, now, 0
         self.since = now  # what was due by then is lost
-        self.floor = 0.0  # lines that wait for certain, at the stated rate or any lower
+        self.floor, self.left = (
+            0.0,
+            0.0,
+        )  # lines that wait for certain, at the stated rate or any lower; may wait
         self.turn, self.passed = 0, 0  # moments sent, and those that have left whole
         self.waiting: dict[int, list[tuple[int, int, int, int]]] = {}  # by proxy: mark, lines, due, turn
         self.moment: dict[int, int] = {}  # lines by proxy, ordered since the last moment was over
@@ -89,12 +92,16 @@
     def load(self) -> float:
         return max(self.queue + self.overdue, self.floor)
 
+    def ceiling(self) -> float:
+        """What may wait at the most, however slow the channel has become: its limit is set against this."""
+        return max(self.load(), self.left)
+
     def cost(self, proxies: list[int], lines: int) -> int:
         return lines * len(proxies) + self.head * sum(proxy not in self.moment for proxy in proxies)
 
     def charge(self, proxies: list[int], lines: int) -> None:
         cost = self.cost(proxies, lines)
-        self.queue, self.floor = self.queue + cost, self.floor + cost
+        self.queue, self.floor, self.left = self.queue + cost, self.floor + cost, self.left + cost
         for proxy in proxies:
             self.moment[proxy] = self.moment.get(proxy, self.head) + lines
 
@@ -102,7 +109,8 @@
         self.queue = max(0.0, self.queue - self.rate * (now - self.drained_at))
         self.drained_at = now
         # what left within a message's longest way may not be answered yet; the rest still waits
-        self.floor = max(0.0, self.unproven() - self.rate * self.late)
+        self.left = self.unproven()
+        self.floor = max(0.0, self.left - self.rate * self.late)
 
     def send(self, now: int) -> int:
         """Books the moment's messages under one mark, and gives it."""
