Too many to be bound in time get parts of the tables first; new hosts are not let back

Binding whole tables to those who join takes longer than the grace at any size of the kit: 349 proxies x 212 lines at 1800 a second are 41 s, the grace there is 24. Change: where whole tables would come later than half the grace (late()), those who join are dealt to parts of the wide tables (the split that narrow tables use) sized so that all who may still come are bound in half the grace, but no smaller than a standing table; they get the whole when nobody waits (go_whole). A bind replaces whatever the proxy held, so it costs less than telling what went. When reminders do not fit, a starting director binds without waiting for its first solve. Hosts listed for the first time by a change are new, and shut out by nobody; with a part, only its own hosts are let back.

--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -212,6 +212,11 @@
     orders.withdraw("b", False)  # another may have shut it out of who was under orders before
     orders.moment_over()
     assert len(told[0]) == 2 and len(told[1]) == 1
+    orders.shut_out(2, ["b", "c"])  # they went before it joined: the others know
+    orders.shut_out(1, ["b"])  # it has left
+    orders.moment_over()
+    assert len(told[0]) == 2 and len(told[1]) == 1
+    assert list(Cutter().take(told[2][-1][0])) == [{"t": "assign", "drop": ["b", "c"]}]
 
 
 class Counting(Orders):
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -83,9 +83,10 @@
         self.news, self.news_at, self.resend_at = True, now, 0  # weights may have moved; lines be told again
         self.shifted: dict[str, int] = {}  # hosts that may have to be withdrawn or readmitted, since when
         self.untold: dict[int, None] = {}  # joined, and not told yet of hosts that went before
+        self.learnt: dict[int, None] = {}  # others gave it orders, and may have shut out who came back
         self.joined_at, self.remind_at = 0, NEVER
         self.learning = now + SOLVE_EVERY  # till its first solve at most: proxies' tables know more
-        self.whole, self.listing = False, [""]  # the list that is coming in
+        self.whole, self.listing, self.lists = False, [""], 0  # the list that is coming in; how many came
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
 
@@ -96,18 +97,19 @@
         # it may have lost a withdrawal with its stream, or hold hosts that went before it ever had one
         self.untold[proxy], self.joined_at = None, now
         self.remind_at = min(self.remind_at, now + self.facts.rules.drain_grace // REMIND)
-        self.joined[proxy] = (
-            now // SECOND - 2 * fresh,
-            -rate,
-            not fresh,
-        )  # who holds few hosts may lose them all
+        self.learnt.pop(proxy, None)
+        if self.facts.keeps_shut and not fresh:
+            self.learnt[proxy] = None
+        # who holds few hosts may lose them all
+        self.joined[proxy] = (now // SECOND - 2 * fresh, -rate, not fresh)
         if self.narrow_until:
             self.groups.setdefault(proxy, int(self.chance() * self.parts))
 
     def proxy_left(self, now: int, proxy: int) -> None:
         for book in self.rates.values():
             book.pop(proxy, None)
-        for known in (self.proxies, self.bound, self.joined, self.untold, self.channel.waiting):
+        books = (self.proxies, self.bound, self.joined, self.untold, self.learnt, self.channel.waiting)
+        for known in books:
             known.pop(proxy, None)
 
     def moment_over(self, now: int) -> None:
@@ -129,6 +131,9 @@
         standing = self.facts.fleet.standing and not self.listed  # a standing table says as much as the list
         due = [proxy for proxy, (*_, learnt) in self.joined.items() if not (known and (learnt or standing))]
         due = sorted(due, key=self.joined.__getitem__) if self.channel.load() < limit else []
+        new = [proxy for proxy in due if proxy not in self.bound]
+        if new and not self.narrow_until and self.late(new):
+            self.go_part(now, new)
         # a table that nobody uses yet is brought up to date before anyone is bound, and costs nothing
         unused = [table for table in self.tables if due and not self.users(table)]
         if unused:
@@ -136,14 +141,7 @@
         for proxy in due:
             if self.channel.load() >= limit:
                 break
-            self.bound[proxy] = self.groups.get(proxy, -1)
-            if self.joined[proxy][2] and self.facts.keeps_shut:
-                self.let_back(now, proxy)
-            for table in [t for t in self.tables if t.group == self.bound[proxy] and self.near(t, proxy)]:
-                self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
-                out = sum(self.hosts[name].withdrawn for name in table.sent)
-                self.channel.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
-                table.owed = dict.fromkeys(table.sent)
+            self.bind(now, proxy)
             del self.joined[proxy]
         for table in self.tables if riding else ():
             self.spill(now, table)
@@ -154,15 +152,88 @@
             self.news = self.tune(now, self.tables, wave)
             spent = (self.channel.load() - before) / (self.rate * TUNING_RATE)
             self.order_after = now + (BEAT if self.news else max(BEAT, int(spent)))
+        if self.groups and not self.narrow_until and not self.joined:
+            self.go_whole(now, limit / 2)
         if self.channel.moment:
             self.host.mark(self.channel.send(now), False)  # answered by `mark_answered`, so arrival is known
             self.send_after = now + self.spacing
 
-    def let_back(self, now: int, proxy: int) -> None:
-        """Who came from another director is told of hosts that came back while it may have been there."""
+    def bind(self, now: int, proxy: int) -> None:
+        self.bound[proxy] = self.groups.get(proxy, -1)
+        tables = [t for t in self.tables if t.group == self.bound[proxy] and self.near(t, proxy)]
+        if proxy in self.learnt:
+            self.let_back(now, proxy, tables)
+        for table in tables:
+            self.host.bind(proxy, table.number, sum(1 << k for k in table.routes))
+            out = sum(self.hosts[name].withdrawn for name in table.sent)
+            self.channel.charge([proxy], 2 + len(table.sent) + len(table.levels) + out)
+            table.owed = dict.fromkeys(table.sent)
+
+    # Parts: too many to be bound in time to whole tables get a part of them first.
+
+    def late(self, due: list[int]) -> bool:
+        """Whether so many wait that whole tables come too late for what is withdrawn there."""
+        own = [table for table in self.wide if table.zone == self.wide[0].zone]  # of one proxy
+        whole = sum(len(table.sent) + len(table.levels) + 2 for table in own)
+        waiting = self.channel.load() + self.channel.cost(due, whole)
+        return waiting > self.rate * self.facts.rules.drain_grace / 2
+
+    def go_part(self, now: int, due: list[int]) -> None:
+        """Deals who waits to groups, each with a part of the wide tables, as long as can still be in time."""
+        if not self.groups:
+            if any(group >= 0 for group in self.bound.values()):
+                return  # some still have narrow tables, of numbers that are used again
+            # so large that all who may still come are bound in half the grace, but as a standing table
+            most = len(due) + max(self.facts.fleet.proxies - len(self.proxies), 0)
+            lines = self.rate * self.facts.rules.drain_grace / 2 / most - self.channel.head
+            own = sum(table.zone == self.wide[0].zone for table in self.wide)
+            self.split(now, max(FEW, self.facts.fleet.standing, int(lines / own) - 2))
+            self.host.log(f"{len(due)} wait to be bound: first to {self.parts} parts of the tables")
+        for proxy in due:
+            self.groups.setdefault(proxy, int(self.chance() * self.parts))
+
+    def go_whole(self, now: int, limit: float) -> None:
+        """Binds those with a part to the wide tables, in turn, while the channel has room."""
+        for proxy in list(self.groups):
+            if self.channel.load() >= limit:
+                return
+            del self.groups[proxy]
+            if proxy in self.proxies:
+                self.bind(now, proxy)
+        self.tables = list(self.wide)
+
+    def split(self, now: int, few: int) -> None:
+        """Adds to the wide tables parts of so many hosts, for as many groups of proxies."""
+        self.tables, zones = list(self.wide), dict.fromkeys(table.zone for table in self.wide)
+        if not any(group >= 0 for group in self.bound.values()):
+            self.last = len(self.wide)
+        ready = sum(up.mode == "in_service" for up in self.hosts.values())
+        self.parts = max(1, ready // (few * len(zones)))
+        for table in self.wide:
+            fit = [up for up in self.hosts.values() if self.open_to(table, up)]
+            fit = [up for up in fit if self.weight(now, table, up) and not up.withdrawn] or fit
+            ups = [up for up in fit if table.zone in ("", up.zone)] or fit
+            ups.sort(key=lambda up: -up.size * up.factor)
+            for k in range(self.parts if ups else 0):
+                self.last += 1
+                self.host.clear(self.last)
+                narrow = Table(self.last, table.routes, table.like, table.zone, k)
+                places = range(k, max(len(ups), k + 1 + self.parts * (FEW - 1)), self.parts)
+                narrow.only = [ups[place % len(ups)] for place in places]
+                self.tables.append(narrow)
+
+    def let_back(self, now: int, proxy: int, tables: list[Table]) -> None:
+        """Who came from another director is told of hosts that came back while it may have been there.
+
+        A host that is new was shut out by nobody; with a part of a table, what is not in it can wait.
+        """
         since = now - self.facts.rules.cold
         ready = {n: u for n, u in self.hosts.items() if u.mode == "in_service" and not u.withdrawn}
-        back = [name for name, up in ready.items() if max(up.started, up.shifted_at) > since]
+        back = [n for n, up in ready.items() if max(up.started * (not up.new), up.shifted_at) > since]
+        if self.bound[proxy] >= 0:
+            back = [name for name in back if any(name in table.sent for table in tables)]
+        else:
+            del self.learnt[proxy]
         if back:
             self.host.let_back(proxy, back)
             self.channel.charge([proxy], len(back))
@@ -363,7 +434,7 @@
         """
         if now < self.remind_at or self.channel.load() >= self.limit():
             return
-        waiting = [proxy for proxy in self.untold if proxy in self.joined]
+        waiting = [p for p in self.untold if p in self.joined and p not in self.groups]  # parts come at once
         self.untold, self.remind_at = {}, NEVER
         grace, terms, told = self.facts.rules.drain_grace, self.facts.channel, list[str]()
         reach = self.rate * (grace - grace / REMIND - terms.late_most)  # what is told later is of no use
@@ -372,6 +443,7 @@
         for name in sorted(gone, key=lambda name: -self.hosts[name].shifted_at) if waiting else ():
             holders = waiting if self.facts.keeps_shut else self.holders(name)
             if self.channel.ceiling() + self.channel.cost(holders, 1) > most:
+                self.learning = 0  # binds, that tell less, wait for nothing then
                 break
             told.append(name)
             self.channel.charge(holders, 1)
@@ -388,12 +460,15 @@
         return [*dict.fromkeys([*self.joined, *users])]
 
     def list_began(self, now: int, whole: bool) -> None:
-        self.whole, self.listing, self.backoff = whole, [], SECOND
+        self.whole, self.listing, self.backoff, self.lists = whole, [], SECOND, self.lists + 1
 
     def host_listed(
         self, now: int, name: str, mode: str, started: int, cell: str, size: float, kind: str, zone: str
     ) -> None:
-        up = self.hosts.setdefault(name, Upstream(self.width, BUCKETS))
+        up = self.hosts.get(name)
+        if up is None:
+            up = self.hosts[name] = Upstream(self.width, BUCKETS)
+            up.new = self.lists > 2  # neither in the copy of before the start nor in the first answer
         if started != up.started and now - started < self.facts.rules.cold:  # what was heard is of before
             up.heard.forget()
             up.factor, up.sick, up.rest = ENTRY, False, 0
@@ -499,24 +574,13 @@
     def go_narrow(self, now: int, good: float, busy: float) -> None:
         """Deals hosts and proxies to groups, each with a narrow table in place of each wide one."""
         self.host.log(f"narrow tables: good {good:.2f}, busy {busy:.2f}")
-        self.narrow_until, self.narrow, self.tables = now + self.narrow, 2 * self.narrow, list(self.wide)
-        zones = list(dict.fromkeys(table.zone for table in self.wide))
-        self.parts = max(1, sum(up.mode == "in_service" for up in self.hosts.values()) // (FEW * len(zones)))
+        self.narrow_until, self.narrow = now + self.narrow, 2 * self.narrow
+        self.split(now, FEW)
         turn = [*range(self.parts), *reversed(range(self.parts))]
-        for zone in zones:  # as many proxies and about as much traffic to each group
+        for zone in dict.fromkeys(table.zone for table in self.wide):  # about as much traffic to each group
             proxies = [p for p, (near, _) in self.proxies.items() if zone in ("", near)]
             for k, proxy in enumerate(sorted(proxies, key=lambda p: -self.proxies[p][1])):
                 self.groups[proxy] = turn[k % len(turn)]
-        for table in self.wide:
-            fit = [up for up in self.hosts.values() if self.open_to(table, up)]
-            ups = [up for up in fit if table.zone in ("", up.zone)] or fit
-            ups.sort(key=lambda up: -up.size * up.factor)
-            for k in range(self.parts if ups else 0):
-                self.last += 1
-                narrow = Table(self.last, table.routes, table.like, table.zone, k)
-                places = range(k, max(len(ups), k + 1 + self.parts * (FEW - 1)), self.parts)
-                narrow.only = [ups[place % len(ups)] for place in places]
-                self.tables.append(narrow)
         self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
 
     # Levels and tries: throttle early under overload, least importance first.
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -59,6 +59,7 @@
         self.busy, self.busy_at = 0.0, -(1 << 40)  # cores in use, as last told
         self.probe_at, self.missed = 0, False  # its next probe; whether it missed the last
         self.withdrawn, self.shifted_at = False, 0  # as ordered, and when
+        self.new = False  # it was listed for the first time while this director looked on
         self.anew = False  # it started anew while in service, and was not withdrawn since
 
 
