--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -95,15 +95,34 @@
     assert whole and rows[0] == ("a", "in_service", 17_000_000_000_005, "3", 1.0, "fast", "north")
     assert rows[1][2] == 0
     bad = [entry("a", health="odd"), entry("b", born_ms="x"), 5, entry("c", share=-1), entry("d", "leaving")]
-    whole, again = listing.read({"seq": 3, "whole": True, "hosts": bad})
+    with pytest.raises(Spoilt):  # a host may be missing as its entry has no name: asked again
+        listing.read({"seq": 8, "whole": True, "hosts": bad})
+    whole, again = listing.read({"seq": 8, "whole": True, "hosts": bad})
     assert [row[:2] for row in again] == [("a", "in_service"), ("b", "in_service"), ("d", "terminating")]
-    assert listing.seq == 3 and listing.spoilt == 4
+    assert listing.seq == 8 and listing.spoilt == 8
     with pytest.raises(Spoilt):
         listing.read({"seq": 9, "whole": True})
-    assert listing.seq == 3
+    assert listing.seq == 8
     assert listing.read({"seq": 9, "whole": False, "hosts": [entry("a", "left")]})[1][0][1] == "terminated"
 
 
+def test_an_answer_older_than_the_list_or_without_names_does_not_replace_it_at_once() -> None:
+    listing = Listing()
+    listing.read({"seq": 7, "whole": True, "hosts": [entry("a"), entry("b")]})
+    for _ in range(2):  # an old change never counts
+        with pytest.raises(Spoilt):
+            listing.read({"seq": 5, "whole": False, "hosts": [entry("a", "leaving")]})
+    assert listing.read({"seq": 5, "whole": False, "hosts": []}) == (False, []) and listing.seq == 7
+    for _ in range(3):  # all entries spoilt: no empty list
+        with pytest.raises(Spoilt):
+            listing.read({"seq": 8, "whole": True, "hosts": [{"host": 5}, None]})
+    assert listing.read({"seq": 8, "whole": True, "hosts": []}) == (True, [])
+    with pytest.raises(Spoilt):
+        listing.read({"seq": 2, "whole": True, "hosts": [entry("a")]})
+    whole, rows = listing.read({"seq": 2, "whole": True, "hosts": [entry("a")]})  # discovery began anew
+    assert whole and len(rows) == 1 and listing.seq == 2
+
+
 class Proxy:
     """A plain proxy, by the protocol's page."""
 
--- a/willowhook/frames/listing.py
+++ b/willowhook/frames/listing.py
@@ -15,12 +15,14 @@
 class Listing:
     """Follows the list: every answer gives the version, whether it is whole, and its rows.
 
-    An entry that is spoilt keeps what was last known of its host: it is no reason to take a host out.
+    An entry that is spoilt keeps what was last known of its host: it is no reason to take a host out.  Nor
+    is an answer that is older than what is held, or has entries without names, unless it comes so twice.
     """
 
     def __init__(self) -> None:
         self.seq = -1  # of the newest answer; -1: none yet
         self.spoilt = 0
+        self._doubted = False  # the last answer was a whole list that is older, or lacks names
         self._rows: dict[str, Row] = {}
 
     def read(self, answer: Fields) -> tuple[bool, list[Row]]:
@@ -30,7 +32,10 @@
             raise Spoilt("whole")
         if type(entries) is not list:
             raise Spoilt("hosts")
+        if seq < self.seq and not full and not entries:
+            return False, []  # nothing new, by a discovery that is behind
         rows: dict[str, Row] = {}
+        nameless = 0
         for entry in entries:
             try:
                 row = self._row(entry)
@@ -39,9 +44,15 @@
                 name = entry.get("host") if type(entry) is dict else None
                 kept = self._rows.get(name) if type(name) is str else None
                 if kept is None:
+                    nameless += 1
                     continue
                 row = kept
             rows[row[0]] = row
+        again, self._doubted = self._doubted, full and (seq < self.seq or nameless > 0)
+        if seq < self.seq and not (full and again):
+            raise Spoilt(f"seq: {seq} after {self.seq}")
+        if full and nameless and (not again or 2 * nameless >= len(entries)):
+            raise Spoilt(f"hosts: {nameless} of {len(entries)} entries")  # whose absence says nothing
         self.seq = seq
         if full:
             self._rows = {}
