Nothing in the channel counts as lost while answers come, however late

Traced: the channel had slowed to a few hundred lines a second; answers to mark 54 came one by one from 18 to 25 s, 6 to 13 s after the order. Channel.look took what was overdue for twice the grace as lost (since), 8 s here, so lines that still waited were forgotten, and guard filled their place at 22.484. Change: only where no answer has come for that long is anything lost. Test: fails without it.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -283,6 +283,21 @@
     assert not stage.director.groups and len(stage.director.tables) == len(wide)
 
 
+def test_while_answers_come_however_late_nothing_in_the_channel_is_lost() -> None:
+    channel = Channel(0.16, 7, 4000, 0)
+    channel.waiting.update({0: [], 1: [], 2: []})
+    for _ in range(2):
+        channel.charge([0, 1, 2], 100)
+        channel.send(0)
+    channel.answered(70_000, 0, 1)
+    channel.look(80_000, 20_000)
+    channel.drain(80_000)
+    assert channel.ceiling() == channel.unproven() == 5 * 107
+    channel.look(95_000, 20_000)  # nothing comes any more
+    channel.drain(95_000)
+    assert channel.ceiling() == channel.unproven() == 0
+
+
 def test_what_may_wait_at_the_most_is_all_that_no_answer_proves_to_have_left() -> None:
     channel = Channel(0.16, 7, 4000, 0)
     channel.waiting.update({0: [], 1: []})
@@ -294,7 +309,7 @@
     channel.charge([0], 10)
     assert channel.ceiling() == 631
     channel.send(3000)
-    channel.answered(0, 1)
+    channel.answered(3000, 0, 1)
     channel.drain(3000)
     assert channel.ceiling() == 307 + 17
 
@@ -307,10 +322,10 @@
         assert channel.send(0) == number
     channel.look(6000, 50_000)
     assert channel.overdue == 68
-    channel.answered(1, 1)  # the rest of its moment may still wait, and the second message to both
+    channel.answered(6000, 1, 1)  # the rest of its moment may still wait, and the second message to both
     channel.look(6000, 50_000)
     assert channel.overdue == channel.unproven() == 51
-    channel.answered(1, 2)
+    channel.answered(6000, 1, 2)
     channel.look(6000, 50_000)
     assert channel.overdue == 17
     channel.look(60_000, 50_000)
@@ -330,7 +345,7 @@
     channel.charge([0], 3)
     assert channel.load() == 2010 - 640
     channel.send(20_000)
-    channel.answered(0, 2)
+    channel.answered(20_000, 0, 2)
     channel.drain(20_000)
     assert channel.load() == 10
 
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -390,7 +390,7 @@
         return max(self.limit(), min(terms.most_waiting * WAVE, reach))
 
     def mark_answered(self, now: int, proxy: int, number: int, elapsed: int) -> None:
-        self.channel.answered(proxy, number)
+        self.channel.answered(now, proxy, number)
 
     # Rules first: what the list says of draining, gone and new hosts.
 
--- a/willowhook/state.py
+++ b/willowhook/state.py
@@ -81,7 +81,7 @@
     def __init__(self, rate: float, head: int, late: int, now: int) -> None:
         self.rate, self.head, self.late = rate, head, late  # lines a tick, of a head; a message's longest way
         self.queue, self.overdue, self.drained_at, self.mark = 0.0, 0.0, now, 0
-        self.since = now  # what was due by then is lost
+        self.since, self.heard_at = now, now  # what was due by then is lost; when the last answer came
         self.floor, self.left = (
             0.0,
             0.0,
@@ -123,12 +123,12 @@
         self.moment.clear()
         return self.mark
 
-    def answered(self, proxy: int, number: int) -> None:
+    def answered(self, now: int, proxy: int, number: int) -> None:
         """Messages leave in turn: what was sent in moments before an answered one has left.
 
         Of its own moment it proves nothing: a wave takes a second to leave, and its first answer comes early.
         """
-        book = self.waiting.get(proxy, [])
+        book, self.heard_at = self.waiting.get(proxy, []), now
         for i, (mark, _, _, turn) in enumerate(book):
             if mark == number:
                 self.passed = max(self.passed, turn - 1)
@@ -140,8 +140,12 @@
         return self._left(self.since, NEVER)
 
     def look(self, now: int, lost: int) -> None:
-        """Sums what is overdue; what is so for longer than `lost` is lost."""
-        self.since = now - lost
+        """Sums what is overdue; what is so for longer than `lost` is lost, if no answer comes any more.
+
+        While answers come, however late, the channel is slow, and what has none still waits in its turn.
+        """
+        if now - self.heard_at >= lost:
+            self.since = now - lost
         self.overdue = self._left(self.since, now)
 
     def _left(self, since: int, until: int) -> int:
