A whole list that lacks most hosts is believed only of those that answer no more

Cause: list_ended took every host that a whole list lacks as gone at once, so a roster that returns no entries, with no error, emptied all tables within the grace (a test with lists of 0 and 2 of 8 hosts shows it on the text before). Change: where more than half of those in service are missing, a host that answered most of its tries in the last two buckets stays, the others go as before (rule 3); the whole list is asked for each quarter of the grace until it has them. A host that stops answering meanwhile is believed gone at the next list.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""A fake host: holds what was ordered.  It lacks the orders that are never given: fetch, tell."""
+"""A fake host: holds what was ordered.  It lacks the orders that are never given: tell."""
 
 from __future__ import annotations
 
@@ -29,6 +29,7 @@
     now: int = 0
     logs: list[str] = field(default_factory=list)
     watched: int = 0
+    fetched: int = 0
     withdrawals: int = 0
     lines: dict[int, dict[str, float]] = field(default_factory=dict)
     out: dict[str, bool] = field(default_factory=dict)
@@ -55,6 +56,9 @@
     def watch(self, on: bool) -> None:
         self.watched += on
 
+    def fetch(self) -> None:
+        self.fetched += 1
+
     def probe(self, host: str) -> None:
         assert self.terms.probes
         self.probes.append(host)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from fakes import FACTS, SECOND, Stage, facts
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -70,6 +71,37 @@
     assert not stage.host.out["h7"] and 0 < stage.weights()["h7"] <= 0.25
 
 
+@pytest.mark.parametrize("listed", [0, 2])
+def test_a_list_that_lacks_most_hosts_is_believed_of_those_that_answer_no_more(listed: int) -> None:
+    stage = started(Stage(), hosts=8)
+    whole = {f"h{k}": ("in_service", 0) for k in range(8)}
+    few = dict(list(whole.items())[:listed])
+    for _ in range(4):
+        for k in range(8):
+            stage.hear(f"h{k}", 20, 20 if k == 7 else 0, 100.0)
+        stage.pass_time(SECOND // 2)
+    stage.list(few)
+    stage.over()
+    assert stage.host.out == {"h7": True} and not stage.host.fetched
+    for _ in range(8):  # h6 stops to answer, too: it went
+        for k in range(6):
+            stage.hear(f"h{k}", 20, 0, 100.0)
+        stage.pass_time(SECOND // 2)
+    assert stage.host.fetched
+    stage.list(few)
+    stage.over()
+    stage.pass_time(SECOND)
+    assert stage.host.out == {"h7": True, "h6": True}
+    asked = stage.host.fetched
+    stage.list(dict(list(whole.items())[:6]))
+    stage.pass_time(8 * SECOND)
+    assert stage.host.fetched == asked and set(stage.weights()) <= {f"h{k}" for k in range(6)}
+    stage.list(dict(list(whole.items())[:3]))  # half of them may go at once
+    stage.over()
+    stage.pass_time(SECOND)
+    assert sum(stage.host.out.values()) == 5
+
+
 def test_a_failing_host_rests_then_returns_and_rests_longer() -> None:
     stage, used = started(Stage()), ""
     for _ in range(32):
--- a/willowhook/rules.py
+++ b/willowhook/rules.py
@@ -27,9 +27,7 @@
 GATHER = 8  # withdrawals gather for an eighth of the grace, or three while not all fit
 NEARLY = 0.95  # of the lines that may wait, withdrawals fill
 REMIND = 4  # who waits to be bound for a quarter of the grace is told who went before it joined
-GONE = (
-    30 * SECOND
-)  # after its withdrawal, a host that is gone is forgotten: no stream waits so long for a table
+GONE = 30 * SECOND  # after its withdrawal a host is forgotten: no stream waits so long for a table
 NEAR_PRICE, NEAR_MOST = 0.05, 0.95  # price of crossing from which calls are kept near; most kept
 # Health, as shares of tries, of hosts and times.
 DEAD_SHARE, REST = 0.75, 5 * SECOND  # dropped above the better hosts: out; for how long first, then doubled
@@ -87,6 +85,7 @@
         self.joined_at, self.remind_at = 0, NEVER
         self.learning = now + SOLVE_EVERY  # till its first solve at most: proxies' tables know more
         self.whole, self.listing, self.lists = False, [""], 0  # the list that is coming in; how many came
+        self.relist_at = NEVER  # to ask for the whole list once more
         self.listen_at, self.backoff = (now if facts.subscribe else -1), SECOND
         host.after(BEAT, 0)
 
@@ -173,7 +172,7 @@
 
     def late(self, due: list[int]) -> bool:
         """Whether so many wait that whole tables come too late for what is withdrawn there."""
-        own = [table for table in self.wide if table.zone == self.wide[0].zone]  # of one proxy
+        own = [table for table in self.wide if table.zone == self.wide[0].zone]
         whole = sum(len(table.sent) + len(table.levels) + 2 for table in own)
         waiting = self.channel.load() + self.channel.cost(due, whole)
         return waiting > self.rate * self.facts.rules.drain_grace / 2
@@ -223,14 +222,11 @@
                 self.tables.append(narrow)
 
     def let_back(self, now: int, proxy: int, tables: list[Table]) -> None:
-        """Who came from another director is told of hosts that came back while it may have been there.
-
-        A host that is new was shut out by nobody; with a part of a table, what is not in it can wait.
-        """
+        """Who came from another director is told of hosts that came back while it may have been there."""
         since = now - self.facts.rules.cold
         ready = {n: u for n, u in self.hosts.items() if u.mode == "in_service" and not u.withdrawn}
         back = [n for n, up in ready.items() if max(up.started * (not up.new), up.shifted_at) > since]
-        if self.bound[proxy] >= 0:
+        if self.bound[proxy] >= 0:  # with a part of a table, what is not in it can wait
             back = [name for name in back if any(name in table.sent for table in tables)]
         else:
             del self.learnt[proxy]
@@ -428,10 +424,7 @@
                 self.tune(now, [table], most)
 
     def remind(self, now: int) -> None:
-        """Tells who waits to be bound of hosts that went before it joined, the last to go first.
-
-        Whoever served it may not have known, and what it was told may have been lost with its stream.
-        """
+        """Tells who waits to be bound of hosts that went before it joined, the last to go first."""
         if now < self.remind_at or self.channel.load() >= self.limit():
             return
         waiting = [p for p in self.untold if p in self.joined and p not in self.groups]  # parts come at once
@@ -480,8 +473,16 @@
         self.shifted.setdefault(name, now)
 
     def list_ended(self, now: int) -> None:
-        here = set(self.listing)
-        for name in [n for n in self.hosts if n not in here] if self.whole else ():
+        """What a whole list lacks is gone; if that is most hosts, the roster may have lost its entries."""
+        here, self.relist_at = set(self.listing), NEVER if self.whole else self.relist_at
+        gone = [n for n in self.hosts if n not in here] if self.whole else []
+        ready = [(n, up) for n, up in self.hosts.items() if gone and up.mode == "in_service"]
+        sums = {name: up.heard.total(now, 2) for name, up in ready}
+        if 2 * sum(name in sums for name in gone) > len(sums):  # then only who answers no tries any more
+            gone = [n for n in gone if n not in sums or sums[n][0] <= 2 * sums[n][1]]
+            self.relist_at = now + self.facts.rules.drain_grace // REMIND
+            self.host.log(f"{len(here)} hosts listed of {len(sums)} in service, {len(gone)} believed gone")
+        for name in gone:
             self.hosts[name].mode = "terminated"
             self.shifted.setdefault(name, now)
 
@@ -681,6 +682,9 @@
             self.host.log(f"wide tables: {len(self.proxies)} proxies to bind")
             self.narrow_until, self.groups = 0, {}
             self.joined = dict.fromkeys(self.proxies, (now // SECOND, 0.0, False))
+        if now >= self.relist_at:
+            self.relist_at = now + self.facts.rules.drain_grace // REMIND
+            self.host.fetch()
         if now >= self.solve_at:
             solved = self.solve(now)
             self.learning = 0 if solved else self.learning
