A configuration half written at SIGHUP is read again; a reset in the backlog ends nothing

Cause, by reading and forced crossings: _configured read the file once, so one that was half written as the signal came was told as unusable and never read again, while the old discovery closes after 1.5 s; in _accept an option set on a connection that was reset in the backlog may raise OSError, which ended the program. Change: the file is looked at for 3 s more, told once; such a connection is closed alone. Both tests fail on the text before. A proxy that joins twice on one stream and on another in one read is shown harmless by a test that passes on both.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,7 @@
 import trio
 
 from willowhook.frames.codec import Cutter, Fields, frame
+from willowhook.node.links import Links
 from willowhook.node.start import PATH, Unusable, read_start
 from willowhook.web.wire import Call, Reply, answer_calls
 
@@ -204,6 +205,77 @@
     assert "the new configuration is not used" in log and "configured anew" in log and "Traceback" not in log
 
 
+def test_a_configuration_half_written_as_the_signal_comes_is_read_once_it_is_whole(tmp_path: Path) -> None:
+    service, elsewhere = Service(tmp_path), Discovery()
+
+    async def scene(process: subprocess.Popen[bytes]) -> None:
+        async with trio.open_nursery() as nursery:
+            place = free_port()
+            await nursery.start(elsewhere.serve, place)
+            service.write(place)
+            text = service.path.read_text()
+            service.path.write_text(text[: len(text) // 2])
+            process.send_signal(signal.SIGHUP)
+            with trio.fail_after(5):
+                while "is not used" not in service.path.with_name("log").read_text():
+                    await trio.sleep(0.01)
+            service.path.write_text(text)  # and no further signal
+            with trio.fail_after(5):
+                while not elsewhere.calls:
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+    assert play(service, scene).count("is not used") == 1
+
+
+def test_who_is_reset_before_it_is_taken_ends_nothing_else() -> None:
+    """As some kernels do: options cannot be set on a connection that was reset in the backlog."""
+    ours, theirs = socket.socketpair()
+
+    class Reset(socket.socket):
+        def setsockopt(self, *_: object) -> None:
+            raise OSError(22, "invalid")
+
+    waiting = [Reset(fileno=ours.detach())]
+
+    class Listener:
+        def accept(self) -> tuple[socket.socket, None]:
+            if not waiting:
+                raise BlockingIOError
+            return waiting.pop(), None
+
+    async def scene() -> None:
+        async with trio.open_nursery() as nursery:
+            links = Links(("127.0.0.1", 0), 99, lambda *_: None, lambda *_: None)
+            links._nursery = nursery
+            assert links._accept(Listener())  # type: ignore[arg-type]
+            assert links.held == 0 and theirs.recv(1) == b""
+
+    trio.run(scene)
+    theirs.close()
+
+
+def test_a_proxy_that_joins_on_two_streams_in_one_read_has_the_last(tmp_path: Path) -> None:
+    service = Service(tmp_path)
+    service.discovery.list("h0")
+
+    async def scene(process: subprocess.Popen[bytes]) -> None:
+        process.send_signal(signal.SIGSTOP)  # so that all of it is read in one turn
+        old, new = await service.dial(), await service.dial()
+        await old.say(ATTACH, ATTACH, {"t": "hb"})  # twice on one stream, too
+        await new.say({**ATTACH, "fresh": False})
+        process.send_signal(signal.SIGCONT)
+        await new.hear(lambda got: "h0" in rows(got))
+        with trio.fail_after(5):
+            while await old.stream.receive_some(4096):
+                pass
+        service.discovery.list("h0", "leaving")
+        await new.hear(lambda got: dropped(got) == ["h0"])
+        assert process.poll() is None
+
+    assert "Traceback" not in play(service, scene)
+
+
 def test_strangers_are_turned_away_in_time_and_leave_room_for_proxies(tmp_path: Path) -> None:
     service = Service(tmp_path, sockets=64)
     service.discovery.list("h0")
--- a/willowhook/node/director.py
+++ b/willowhook/node/director.py
@@ -28,6 +28,7 @@
 TICK_S = 0.004  # between moments at least: what comes closer together is one moment
 SHARE = 3.0  # and so many times as long as the last moment took, for reading to have its turn
 TELL_S = 10.0  # between lines on what is believed
+REREAD_S = (0.0, 0.1, 0.2, 0.4, 0.8, 1.6)  # before each look at a new configuration: it may be half written
 SPOILT_TOLD = 20  # messages that are told one by one; the others are counted
 
 
@@ -178,14 +179,19 @@
                     if each != signal.SIGHUP:
                         nursery.cancel_scope.cancel()
                         break
-                    self._configured()
+                    nursery.start_soon(self._configured)
 
-    def _configured(self) -> None:
+    async def _configured(self) -> None:
         """The file of the configuration was replaced: discovery may answer elsewhere."""
-        try:
-            start = self._reread()
-        except Unusable as fault:
-            self._say(f"the new configuration is not used: {fault}")
+        for pause in REREAD_S:
+            await trio.sleep(pause)
+            try:
+                start = self._reread()
+                break
+            except Unusable as fault:
+                if not pause:
+                    self._say(f"the new configuration is not used: {fault}")
+        else:
             return
         self._watch.move(start.discovery)
         self._links.limit(start.sockets)
--- a/willowhook/node/links.py
+++ b/willowhook/node/links.py
@@ -140,8 +140,12 @@
                     self._make_room()
                     return False
                 continue  # it was gone before it was taken
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError:  # reset before it was taken: it concerns nobody else
+                sock.close()
+                continue
             link = Link(sock, trio.current_time())
             self.held += 1
             self._strangers[link] = None
