Of two streams of a proxy read in one go, the one that was taken last stands

Cause: readers run in any order, so where a director stood still for a moment, the joining on a stream that the proxy had left could be read after the one on its new stream, and _joined closed the new one. Change: links are numbered as they are taken; a joining on an older one than the proxy's is turned away.

--- a/willowhook/node/director.py
+++ b/willowhook/node/director.py
@@ -123,6 +123,8 @@
 
     def _joined(self, link: Link, proxy: int, zone: str, rate: float, fresh: bool) -> None:
         old = self._streams.get(proxy)
+        if old is not None and old.turn > link.turn:  # read in one go, in any order: this is the one it left
+            raise Spoilt("proxy")
         if old is not None:  # it dialled again before its old stream was seen to end
             self._links.end(old)
         link.proxy = proxy
--- a/willowhook/node/links.py
+++ b/willowhook/node/links.py
@@ -32,8 +32,8 @@
 class Link:
     """One connection.  `proxy` is -1 and `zone` empty until it is known who speaks."""
 
-    def __init__(self, sock: socket.socket, since: float) -> None:
-        self.sock, self.since = sock, since
+    def __init__(self, sock: socket.socket, since: float, turn: int) -> None:
+        self.sock, self.since, self.turn = sock, since, turn  # the how-manieth that was taken
         self.proxy, self.zone, self.open = -1, "", True
         self.cutter = Cutter(FIRST_MOST)
         self._waiting: deque[bytes] = deque()
@@ -105,7 +105,7 @@
         self._address, self._sockets = address, sockets
         self._heard, self._ended = heard, ended
         self._strangers: dict[Link, None] = {}  # who has not said who it is, the oldest first
-        self.held = 0  # links that are open
+        self.held, self._turn = 0, 0  # links that are open; that were ever taken
         self.turned_away = 0
         self._nursery: trio.Nursery | None = None
 
@@ -146,7 +146,8 @@
             except OSError:  # reset before it was taken: it concerns nobody else
                 sock.close()
                 continue
-            link = Link(sock, trio.current_time())
+            self._turn += 1
+            link = Link(sock, trio.current_time(), self._turn)
             self.held += 1
             self._strangers[link] = None
             if self.held + OWN > self._sockets:
