Decisions: what keeps a rule does not wait for the spacing under a message cap

What callers saw: with a message cap, an endpoint that restarted in service just after a message kept its full weight until the next one (0.9 s at a cap of 12, 5 s at 3, 10 s at 2). Found beside it: at caps of 2 and 3 requests went to draining and removed endpoints past the grace, a table that lost its last endpoint stayed empty as long, and at any cap a proxy that joined just after a message was not bound before the next.

Cause: one spacing, window / (cap - 1), for all messages to all proxies; Controller.flush returned before it looked at what had to be sent, though the cap is for each proxy and most of it was unused.

Fix: messages are counted for each proxy, from its joining (message_cap). Restarts, exclusions at half of what the grace leaves, empty tables, reminders and first binds go where the cap leaves a message; all else stays spaced, leaves one message, and goes along where urgent messages reach everyone. A restart is told by weights alone, as a readmission could wait for a window. Without a cap the path is as before.

--- a/willowhook/decisions/channel.py
+++ b/willowhook/decisions/channel.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from ..ticks import TICKS_PER_SECOND
+from .message_cap import MessageCap
 from .settings import ChannelSettings
 from .update_cost import SYNC_MARKER_ENTRIES, message_overhead
 
@@ -44,6 +45,7 @@
         overdue: entries of messages whose acknowledgement is overdue.
         pending: entries by proxy, charged since the last flush.
         unacknowledged: by joined proxy, its messages in the order in which they were sent.
+        message_cap: which proxies may be sent another message.
     """
 
     def __init__(self, settings: ChannelSettings, now: int) -> None:
@@ -51,6 +53,7 @@
         self.overhead_entries = message_overhead(settings) + SYNC_MARKER_ENTRIES
         self.pending: dict[int, int] = {}
         self.unacknowledged: dict[int, list[SentMessage]] = {}
+        self.message_cap = MessageCap(settings)
         self._max_delay_ticks = settings.max_delay_ticks
         self.queued = 0.0
         self.overdue = 0.0
@@ -66,10 +69,12 @@
     def add_proxy(self, proxy: int) -> None:
         """Starts to track the acknowledgements of a proxy that has joined."""
         self.unacknowledged[proxy] = []
+        self.message_cap.add_proxy(proxy)
 
     def remove_proxy(self, proxy: int) -> None:
         """Forgets what was sent to a proxy that has left."""
         self.unacknowledged.pop(proxy, None)
+        self.message_cap.remove_proxy(proxy)
 
     def queue_estimate(self) -> float:
         """Entries that wait, as far as is known."""
@@ -84,6 +89,10 @@
         new_messages = sum(proxy not in self.pending for proxy in proxies)
         return entries * len(proxies) + self.overhead_entries * new_messages
 
+    def can_message(self, now: int, proxies: Iterable[int]) -> bool:
+        """Whether the message cap lets all of these proxies have a message in the next flush."""
+        return self.message_cap.allows(now, (proxy for proxy in proxies if proxy not in self.pending))
+
     def charge(self, proxies: Sequence[int], entries: int) -> None:
         """Adds this number of entries for each of these proxies to the next flush."""
         cost = self.cost(proxies, entries)
@@ -107,6 +116,7 @@
         self.last_marker = (self.last_marker + 1) % MARKERS
         due_at = now + int(self.queue_estimate() / self.entries_per_tick) + self._max_delay_ticks
         self._flushes += 1
+        self.message_cap.note_messages(now, self.pending)
         for proxy, entries in self.pending.items():
             self.unacknowledged[proxy].append(SentMessage(self.last_marker, entries, due_at, self._flushes))
         self.pending.clear()
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -12,7 +12,8 @@
 | weights                                    | weights, weight_solver, slow_start, locality         |
 | health                                     | outliers, partitions, health_checks                  |
 | load, admission, retries                   | load, demand, conditions, admission                  |
-| what is sent when                          | table_updates, pacing, queue_limits, channel         |
+| what is sent when                          | table_updates, pacing, queue_limits, channel,        |
+|                                            | message_cap                                          |
 """
 
 from __future__ import annotations
@@ -170,17 +171,48 @@
 
         Order: join bursts to subsets, exclusions and readmissions, reminders, tables without a usable
         endpoint, binds, table updates, the end of a join burst. Binds and table updates wait for exclusions
-        that are left.
+        that are left. Under a message cap most of this is spaced; what keeps the rules does not wait.
         """
         self._endpoint_list.watch_if_due(now)
-        if not self._pacer.can_send(now):
-            return
         self.channel.drain(now)
+        if self._may_send_to_all(now):
+            self._send_updates(now)
+            has_messaged_all = True
+        else:
+            self._send_urgent_updates(now)
+            # what waits for the spacing may go with messages that reach all proxies anyway
+            has_messaged_all = self.fleet.proxies.keys() == self.channel.pending.keys()
+            if has_messaged_all:
+                self._send_updates(now)
+        if self.channel.pending:
+            self._runtime.send_sync_marker(self.channel.flush(now))
+            if has_messaged_all:
+                self._pacer.note_messages(now)
+
+    def _may_send_to_all(self, now: int) -> bool:
+        """Whether the spacing and the message cap allow messages that keep no rule."""
+        if not self._pacer.can_send(now):
+            return False
+        return self.channel.message_cap.allows_with_reserve(now, self.fleet.proxies)
+
+    def _send_urgent_updates(self, now: int) -> None:
+        """Gives what keeps the rules, and the first binds of proxies, as far as the message cap allows."""
+        due = self._binder.due(now)
+        unsent = [proxy for proxy in due if self.channel.message_cap.is_unsent(now, proxy)]
+        self._binder.bind_burst(now, unsent)
+        self.exclusions.send_urgent(now)
+        self._send_reminders_and_fill_tables(now)
+        waiting = [proxy for proxy in unsent if proxy in self.pending_binds]
+        self._binder.bind_in_order(now, waiting, self._limits.for_binds())
+
+    def _send_updates(self, now: int) -> None:
+        """Gives all that is due, in the order of `flush`."""
         queue_before = self.channel.queue_estimate()
         due = self._binder.due(now)
         # a subset table holds nothing that is excluded, so these binds need not wait for exclusions
         self._binder.bind_burst(now, due)
-        self._send_exclusions(now)
+        self.exclusions.send(now)
+        self._send_reminders_and_fill_tables(now)
         # where messages go to most proxies anyway, changed weights go with them
         is_broadcast = 2 * len(self.channel.pending) > len(self.fleet.proxies)
         if is_broadcast or (self.admission.is_shedding and self._pacer.are_tables_due(now)):
@@ -190,12 +222,8 @@
         self._binder.bind_in_order(now, waiting, bind_limit)
         self._update_tables(now, is_broadcast, CALM_FRACTION * bind_limit, queue_before)
         self._binder.end_burst(now, CALM_FRACTION * bind_limit)
-        if self.channel.pending:
-            self._runtime.send_sync_marker(self.channel.flush(now))
-            self._pacer.note_messages(now)
 
-    def _send_exclusions(self, now: int) -> None:
-        self.exclusions.send(now)
+    def _send_reminders_and_fill_tables(self, now: int) -> None:
         all_reminded = self._reminders.send_if_due(now)
         if not all_reminded:
             self._binder.stop_holding_back()  # a bind carries the exclusions that did not fit
--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -11,6 +11,9 @@
 | bound here later                         | the bind, which excludes what is out of its table        |
 | joined from another controller           | the same; readmissions.py takes back that one's own      |
 
+Under a message cap an exclusion does not wait for the spacing of messages when it is urgent: when the
+endpoint has restarted in service, or when half of the time that the grace leaves has passed.
+
 An endpoint that is in service again is readmitted at all proxies, with its present weight. A warming one
 waits until no proxy waits to be bound, as the tables that those hold know no slow start.
 """
@@ -18,11 +21,13 @@
 from __future__ import annotations
 
 from .context import ControllerContext
-from .model import Endpoint
+from .model import Endpoint, EndpointTable
 from .pending_binds import PendingBinds
 from .queue_limits import EXCLUSION_GATHER_DIVISOR
+from .settings import DeploymentSettings
 from .slow_start import SlowStart
 from .table_updates import TableUpdater
+from .timing import EVALUATION_INTERVAL_TICKS
 from .update_cost import UPDATE_ENTRIES
 from .weights import EndpointWeights
 
@@ -48,6 +53,7 @@
         self._slow_start = slow_start
         self._weights = weights
         self._updater = updater
+        self._urgent_after_ticks = _urgent_after_ticks(context.settings)
         self._changed: dict[str, int] = {}  # endpoints that may have to be excluded or readmitted, since when
 
     def note_change(self, now: int, endpoint: str) -> None:
@@ -64,13 +70,24 @@
 
     def send(self, now: int) -> None:
         """Sends exclusions, the oldest first, then readmissions, as far as they fit in the queue."""
+        self._send(now, self._due_changes(), with_readmissions=True)
+
+    def send_urgent(self, now: int) -> None:
+        """Sends exclusions if one of them is urgent; readmissions wait."""
         due = self._due_changes()
+        if any(self._is_urgent(now, endpoint) for endpoint in due):
+            self._send(now, due, with_readmissions=False)
+
+    def _send(self, now: int, due: list[Endpoint], *, with_readmissions: bool) -> None:
         left: dict[str, int] = {}
         is_queue_long = self._channel.queue_estimate() >= self._limits.for_binds()
         is_gathering = is_queue_long and self._should_gather(now, due)
         for endpoint in due:
             if endpoint.is_excluded:
-                is_sent = not self._must_wait(now, endpoint, is_queue_long) and self._readmit(now, endpoint)
+                may_send = with_readmissions and not self._must_wait(now, endpoint, is_queue_long)
+                is_sent = may_send and self._readmit(now, endpoint)
+            elif endpoint.restarted_in_service and self._can_send_weights_alone():
+                is_sent = self._send_weights(now, endpoint)
             else:
                 is_sent = not is_gathering and self._exclude(now, endpoint)
             if not is_sent:
@@ -96,6 +113,19 @@
         due = [endpoint for endpoint in changed if endpoint.is_excluded == _is_usable(endpoint)]
         return sorted(due, key=lambda endpoint: (endpoint.is_excluded, endpoint.exclusion_changed_at))
 
+    def _is_urgent(self, now: int, endpoint: Endpoint) -> bool:
+        """Whether an exclusion may not wait for the next ordinary message."""
+        if endpoint.is_excluded:
+            return False
+        return endpoint.restarted_in_service or now - self._changed[endpoint.name] >= self._urgent_after_ticks
+
+    def _can_send_weights_alone(self) -> bool:
+        """Whether a restart is told by weights: under a cap the readmission might wait for a whole window.
+
+        The tables of proxies that wait to be bound are not known here: they need the exclusion.
+        """
+        return self._channel.message_cap.is_limited and not len(self._pending_binds)
+
     def _should_gather(self, now: int, due: list[Endpoint]) -> bool:
         """Whether exclusions wait a little for more: a message costs more than its entry."""
         ages = [now - self._changed[endpoint.name] for endpoint in due if not endpoint.is_excluded]
@@ -112,9 +142,9 @@
         return len(self._pending_binds) > 0 and self._slow_start.is_warming_up(now, endpoint)
 
     def _exclude(self, now: int, endpoint: Endpoint) -> bool:
-        """Excludes an endpoint at all proxies that may use it; False if that does not fit in the queue."""
+        """Excludes an endpoint at all proxies that may use it; False if the channel does not allow that."""
         holders = self.holders(endpoint.name)
-        if not self._fits(self._channel.cost(holders, UPDATE_ENTRIES)):
+        if not self._can_send(now, holders, UPDATE_ENTRIES):
             return False
         endpoint.is_excluded = True
         endpoint.exclusion_changed_at = now
@@ -123,23 +153,38 @@
         return True
 
     def _readmit(self, now: int, endpoint: Endpoint) -> bool:
-        """Readmits an endpoint at all proxies, its weights first; False if that does not fit in the queue.
+        """Readmits an endpoint at all proxies, its weights first; False if the channel does not allow that.
 
         The weights come first, as those of the process before may be too much for the new one.
         """
         proxies = list(self._fleet.proxies)
         tables = self._fleet.tables_with(endpoint.name)
-        if not self._fits(self._channel.cost(proxies, UPDATE_ENTRIES * (1 + len(tables)))):
+        if not self._can_send(now, proxies, UPDATE_ENTRIES * (1 + len(tables))):
             return False
-        for table in tables:
-            weight = self._weights.weight(now, table, endpoint)
-            self._updater.set_weight(table, self._fleet.users(table), endpoint.name, weight)
+        self._set_weights(now, endpoint, tables)
         endpoint.is_excluded = False
         endpoint.exclusion_changed_at = now
         self._runtime.readmit_endpoint(endpoint.name)
         self._channel.charge(proxies, UPDATE_ENTRIES)
         return True
 
+    def _send_weights(self, now: int, endpoint: Endpoint) -> bool:
+        """Sends the present weights of an endpoint; False if the channel does not allow that."""
+        tables = self._fleet.tables_with(endpoint.name)
+        users = [*dict.fromkeys(proxy for table in tables for proxy in self._fleet.users(table))]
+        if not self._can_send(now, users, UPDATE_ENTRIES * len(tables)):
+            return False
+        self._set_weights(now, endpoint, tables)
+        return True
+
+    def _set_weights(self, now: int, endpoint: Endpoint, tables: list[EndpointTable]) -> None:
+        for table in tables:
+            weight = self._weights.weight(now, table, endpoint)
+            self._updater.set_weight(table, self._fleet.users(table), endpoint.name, weight)
+
+    def _can_send(self, now: int, proxies: list[int], entries: int) -> bool:
+        return self._fits(self._channel.cost(proxies, entries)) and self._channel.can_message(now, proxies)
+
     def _fits(self, cost: int) -> bool:
         return self._channel.queue_ceiling() + cost <= self._limits.for_exclusions()
 
@@ -147,3 +192,12 @@
 def _is_usable(endpoint: Endpoint) -> bool:
     """Whether proxies should be allowed to use an endpoint."""
     return endpoint.is_in_service and not endpoint.restarted_in_service
+
+
+def _urgent_after_ticks(settings: DeploymentSettings) -> int:
+    """How long exclusions may gather while a message cap spaces messages.
+
+    Half of what the grace leaves, once the delay of the message and the wait for a flush are taken off.
+    """
+    delays = settings.channel.max_delay_ticks + EVALUATION_INTERVAL_TICKS
+    return max(settings.rules.drain_grace_ticks - delays, 0) // 2
--- a/willowhook/decisions/reminders.py
+++ b/willowhook/decisions/reminders.py
@@ -53,7 +53,7 @@
         """Sends reminders that are due, the last exclusions first.
 
         Returns:
-            False if some were due and did not fit in the queue.
+            False if some were due and did not fit in the queue or the message cap.
         """
         if self._due_at is None or now < self._due_at:
             return True
@@ -62,19 +62,22 @@
         waiting = [proxy for proxy in self._unreminded if self._is_waiting(proxy)]
         self._unreminded = {}
         self._due_at = None
-        return not waiting or self._send(waiting)
+        return not waiting or self._send(now, waiting)
 
     def _is_waiting(self, proxy: int) -> bool:
         """Whether a proxy waits for a bind to whole tables; one to a subset comes at once."""
         return proxy in self._pending_binds and self._subsets.assigned(proxy) is None
 
-    def _send(self, waiting: list[int]) -> bool:
+    def _send(self, now: int, waiting: list[int]) -> bool:
         limit = self._limits.for_reminders()
         told: list[str] = []
         all_told = True
         for name in self._earlier_exclusions():
             holders = waiting if self._per_proxy else self._exclusions.holders(name)
-            if self._channel.queue_ceiling() + self._channel.cost(holders, UPDATE_ENTRIES) > limit:
+            is_over_limit = (
+                self._channel.queue_ceiling() + self._channel.cost(holders, UPDATE_ENTRIES) > limit
+            )
+            if is_over_limit or not self._channel.can_message(now, holders):
                 all_told = False
                 break
             told.append(name)
--- a/willowhook/decisions/table_updates.py
+++ b/willowhook/decisions/table_updates.py
@@ -119,7 +119,8 @@
     def fill_empty_tables(self, now: int, limit: float) -> None:
         """Fills tables with no open entry: before a proxy is bound to them, or when their endpoints went."""
         for table in self._fleet.tables:
-            if self._fleet.is_without_open_entry(table):
+            may_send = self._channel.can_message(now, self._fleet.users(table))
+            if may_send and self._fleet.is_without_open_entry(table):
                 if table.entries:
                     table.members = []  # a subset table whose endpoints are all gone may use any
                 self._locality.rebalance(now, table)
