Validation: a rounding error no longer turns a split update into a refused one

Cause: check_cold refuses if the warmth that an update needs is over 1. In the test it is exactly 1 (25.6 calls/s beside 0.8 x 4 x 8 = 25.6), but it is computed by way of the present warmth, so its last bit depends on the tick.

Fix: exceeds() allows a relative rounding error of 1e-9, as the check did for rises; capacity and swing compared in the same way and use it too. The limits stay as they are. That a refused update is never judged again is a second fault.

--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -15,6 +16,7 @@
 from willowhook.decisions.settings import RequestSemantics
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.trial.guard_cases import BAD, GOOD, confusion
+from willowhook.validation.case import exceeds
 from willowhook.validation.model import (
     Candidate,
     EndpointMode,
@@ -120,6 +122,31 @@
         assert Validator(made).judge(last.steps[1].not_before + 1, whole).has_passed
 
 
+def test_update_that_needs_a_whole_slow_start_budget_is_split_at_every_age() -> None:
+    """Guards against a verdict that hangs on the last bit of a sum: needed and full warmth are equal here."""
+    routes = (SETTINGS.routes[0],) * 3
+    made = World(
+        replace(SETTINGS, routes=routes, slow_start_fraction=0.3, slow_start_ticks=80_000, proxy_count=8)
+    )
+
+    def candidate(weights: dict[str, float]) -> ProxyTables:
+        return ProxyTables((weights,) * 3, frozenset(), (1,) * 3, (math.inf,) * 3)
+
+    warm = {"a": 1.0, "b": 1.0, "c": 1.0}
+    endpoints = [ValidatedEndpoint(name, EndpointMode.IN_SERVICE, 0, 0) for name in warm]
+    made.endpoints.update_list(0, [*endpoints, ValidatedEndpoint("d", EndpointMode.IN_SERVICE, 0, 1)])
+    made.add_proxy(0, "", (4 / 3,) * 3, candidate(warm))
+    eager = Candidate(0, candidate({**warm, "d": 12.0}), UpdateVersion(1, 1, 1))
+    outcomes = {Validator(made).judge(age, eager).outcome for age in range(40_000, 79_000, 13)}
+    assert outcomes == {Outcome.SPLIT}
+
+
+def test_rounding_error_does_not_exceed_a_limit() -> None:
+    summed = 0.1 + 0.1 + 0.1
+    assert summed != 0.3 and not exceeds(summed, 0.3) and not exceeds(0.3, summed)
+    assert exceeds(0.3 * (1 + 1e-8), 0.3)
+
+
 def test_exclusions_and_the_last_endpoints_pass_whatever_else_is_found() -> None:
     made = world()
     some = {"a": 1.0, "b": 1.0}
--- a/willowhook/validation/case.py
+++ b/willowhook/validation/case.py
@@ -7,6 +7,13 @@
 from .model import Candidate, RequestShares
 from .world import ProxyRecord, World
 
+ROUNDING_FACTOR = 1 + 1e-9  # running sums and products of fractions are exact up to this
+
+
+def exceeds(figure: float, limit: float) -> bool:
+    """Whether a figure is over its limit by more than a rounding error."""
+    return figure > limit * ROUNDING_FACTOR
+
 
 @dataclass(frozen=True, slots=True)
 class Case:
--- a/willowhook/validation/endpoint_checks.py
+++ b/willowhook/validation/endpoint_checks.py
@@ -8,12 +8,11 @@
 
 from collections.abc import Mapping
 
-from .case import Case
+from .case import Case, exceeds
 from .model import ProxyTables, ValidatedEndpoint
 from .verdict import Finding, Outcome, Rule, Step, Verdict
 
 FIRST_STEP_MARGIN = 0.95  # of the share that the budget of an endpoint in slow start allows
-MIN_RISE_FACTOR = 1 + 1e-9  # a smaller rise is a rounding error
 
 
 def check_drained(case: Case, verdict: Verdict) -> None:
@@ -102,7 +101,7 @@
         after = before + case.rises[name]
         requests = after * world.fleet_factor()
         budget = world.cold_budget(case.now, endpoint)
-        if requests > budget > 0 and after > before * MIN_RISE_FACTOR:
+        if budget > 0 and exceeds(requests, budget) and exceeds(after, before):
             _add_cold_finding(case, verdict, endpoint, after, requests, budget)
 
 
@@ -115,7 +114,7 @@
     text = f"{requests:.1f} calls/s may come, {budget:.1f} are allowed while it is cold"
     own = world.load_from(case.candidate.proxy, case.shares, name)
     fraction = max(0.0, (budget / world.fleet_factor() - (after - own)) / own) if own else 0.0
-    if needed_warmth > 1:
+    if exceeds(needed_warmth, 1.0):
         remedy = f"{fraction:.0%} of its share"
         verdict.add(
             Finding(
@@ -130,7 +129,7 @@
             )
         )
         return
-    until = max(_warm_at(case, endpoint, needed_warmth), case.now)
+    until = max(_warm_at(case, endpoint, min(needed_warmth, 1.0)), case.now)
     remedy = f"{fraction:.0%} of its share now, or all of it from {until}"
     verdict.add(
         Finding(
--- a/willowhook/validation/load_checks.py
+++ b/willowhook/validation/load_checks.py
@@ -8,7 +8,7 @@
 
 import math
 
-from .case import Case
+from .case import Case, exceeds
 from .model import ValidatedEndpoint
 from .verdict import Finding, Outcome, Rule, Verdict
 
@@ -32,7 +32,7 @@
         capacity *= world.endpoints.warmth(case.now, endpoint) * settings.max_capacity_fraction
         before = world.exposure(name) + world.load_elsewhere(endpoint)
         requests = before + rise
-        if requests > capacity and requests > before * MIN_RISE_OVER_CAPACITY:
+        if exceeds(requests, capacity) and requests > before * MIN_RISE_OVER_CAPACITY:
             text = f"{requests:.1f} calls/s may come, it can do {capacity:.1f}"
             remedy = f"{capacity / requests:.0%} of its weight"
             verdict.add(
@@ -70,7 +70,7 @@
     if before + rise <= limit / 2 or rise <= before * MIN_RISE_FRACTION:
         return
     requests = before + rise + world.load_elsewhere(endpoint)
-    if requests <= limit or _is_spread_of_busy_proxy(case, endpoint, before, even_load):
+    if not exceeds(requests, limit) or _is_spread_of_busy_proxy(case, endpoint, before, even_load):
         return
     count = len(world.endpoints.by_name) - len(world.endpoints.not_in_service)
     total = sum(world.total_rates) * world.fleet_factor()
