Publisher: a refused update is judged again, and goes out once it may

Cause: UpdateValidator kept only held and split messages; a refused one had no owner, and the decisions are not told.

Fix: the session keeps it (RefusedMessage); the loop judges it again after 1, 2 and each 4 s without queueing, counting or logging it, and queues it under a new number once it would not be refused. A later message of the proxy replaces it.

Evidence: before, test_a_refused_message_goes_out_once_it_would_not_be_refused and test_a_message_refused_for_slow_start_goes_out_once_the_endpoint_is_warm failed with "assert [] == [2]"; test_a_refused_message_is_not_written_and_not_queued_again stays as it was. Looked at beside it: the platform server has no validation; the decisions still count the first message as overdue (postmortem, open).

--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -9,9 +9,11 @@
 from controlplane_fixtures import MESSAGE_OVERHEAD, PublisherHarness
 from trio.testing import MockClock
 
+from willowhook.controlplane.proxy_session import MAX_REFUSAL_BACKOFF_TICKS
 from willowhook.controlplane.update_validator import MIN_HOLD_TICKS
 from willowhook.controlplane.update_writer import FIRST_REWRITE_TICKS
 from willowhook.decisions.update_cost import SYNC_MARKER_ENTRIES
+from willowhook.roster.forms import Host
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.validation.model import Candidate
 from willowhook.validation.verdict import Finding, Outcome, Rule, Verdict
@@ -201,6 +203,65 @@
     run(play)
 
 
+def test_a_refused_message_goes_out_once_it_would_not_be_refused() -> None:
+    """Guards against a refusal that nothing judges again."""
+
+    async def play() -> None:
+        harness = PublisherHarness()
+        validator = harness.publisher.validation.validator
+        judge = validator.judge
+        validator.judge = verdict_of(Outcome.REFUSED)  # type: ignore[method-assign]
+        harness.order(EVEN)
+        for _ in range(10):
+            await harness.publish(TICKS_PER_SECOND)
+        assert harness.sink.written == [] and harness.publisher.validation.counts == {"refused": 1}
+        validator.judge = judge  # type: ignore[method-assign]
+        for _ in range(6):
+            await harness.publish(TICKS_PER_SECOND)
+        assert [number for number, _ in harness.sink.written] == [2]
+        assert harness.session.refused is None
+
+    run(play)
+
+
+def test_a_message_refused_for_slow_start_goes_out_once_the_endpoint_is_warm() -> None:
+    async def play() -> None:
+        harness = PublisherHarness()
+        hosts = [
+            Host(name, "127.0.0.1", 80 + ord(name), False, 0.0, 1.0, "", "", "north") for name in "abcdef"
+        ]
+        harness.publisher.validation.update_endpoints(0, hosts, lambda host: 1 if host.id == "c" else 0)
+        harness.order({"a": 1.0, "b": 1.0, "c": 50.0})
+        warm_at = 1 + harness.settings.rules.slow_start_ticks
+        while harness.listener.time < warm_at - TICKS_PER_SECOND:
+            await harness.publish(TICKS_PER_SECOND)
+            assert harness.sink.written == []
+        await harness.publish(MAX_REFUSAL_BACKOFF_TICKS + TICKS_PER_SECOND)
+        await harness.publish(TICKS_PER_SECOND)
+        assert [number for number, _ in harness.sink.written] == [2]
+        assert harness.publisher.validation.counts["refused"] == 1
+
+    run(play)
+
+
+def test_a_refused_message_is_dropped_when_a_later_one_leaves() -> None:
+    async def play() -> None:
+        harness = PublisherHarness()
+        validator = harness.publisher.validation.validator
+        judge = validator.judge
+        validator.judge = verdict_of(Outcome.REFUSED)  # type: ignore[method-assign]
+        harness.order(EVEN)
+        await harness.publish(TICKS_PER_SECOND)
+        validator.judge = judge  # type: ignore[method-assign]
+        harness.order({"a": 2.0})
+        for _ in range(6):
+            await harness.publish(TICKS_PER_SECOND)
+        assert [number for number, _ in harness.sink.written] == [2]
+        assert harness.session.refused is None
+
+    run(play)
+
+
 def test_validation_that_raises_is_disabled_and_messages_go_out() -> None:
     def raises(now: int, candidate: Candidate) -> Verdict:
         raise KeyError("on purpose")
--- a/willowhook/controlplane/proxy_session.py
+++ b/willowhook/controlplane/proxy_session.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ..ticks import TICKS_PER_SECOND
 from ..versions.rollout_track import Content, Unit
 from .proxy_resources import ProxyResources
 from .proxy_state import UpdateMessage
 from .update_sinks import UpdateSink
 
+FIRST_REFUSAL_BACKOFF_TICKS = TICKS_PER_SECOND
+MAX_REFUSAL_BACKOFF_TICKS = 4 * TICKS_PER_SECOND
 MAX_REMEMBERED_MESSAGES = 200  # for one proxy, with their contents, until they are acknowledged
 
 
@@ -38,6 +41,19 @@
     message: UpdateMessage
 
 
+class RefusedMessage(NamedTuple):
+    """A message that validation refused, when it is judged again, and the backoff after that in ticks."""
+
+    judge_at: int
+    backoff_ticks: int
+    message: UpdateMessage
+
+    def postponed(self, now: int) -> RefusedMessage:
+        """The message after another refusal."""
+        backoff_ticks = min(2 * self.backoff_ticks, MAX_REFUSAL_BACKOFF_TICKS)
+        return RefusedMessage(now + self.backoff_ticks, backoff_ticks, self.message)
+
+
 class RewriteTimer(NamedTuple):
     """When unacknowledged files are written again, and the backoff before it in ticks."""
 
@@ -61,6 +77,7 @@
         acknowledged: the number of the newest message that it has applied.
         unwritten: the newest message, if writing it failed.
         held: a message that validation holds back, if any.
+        refused: the message that validation refused last, if none went out since.
         rewrite: when its files are written again, if they wait to be acknowledged.
         newest: the last message that left the channel, as it was ordered.
         contents: by message, the contents that the rollout chose for it.
@@ -78,6 +95,7 @@
     acknowledged: int = 0
     unwritten: UpdateMessage | None = None
     held: HeldMessage | None = None
+    refused: RefusedMessage | None = None
     rewrite: RewriteTimer | None = None
     newest: UpdateMessage | None = None
     contents: dict[int, Contents] = field(default_factory=dict)
@@ -85,8 +103,9 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether something of it is unwritten, held back, or waits to be acknowledged."""
-        return self.unwritten is not None or self.held is not None or self.rewrite is not None
+        """Whether something of it is unwritten, held back, refused, or waits to be acknowledged."""
+        waiting = (self.unwritten, self.held, self.refused, self.rewrite)
+        return any(each is not None for each in waiting)
 
     @property
     def newest_contents(self) -> Contents:
--- a/willowhook/controlplane/publisher.py
+++ b/willowhook/controlplane/publisher.py
@@ -144,6 +144,7 @@
             if now >= self._write_retry_at:
                 await self._retry_writes(now)
             self._queue.put_held_messages(now)
+            self._requeue_refused(now)
             await self._writer.rewrite_unacknowledged(now)
             self.rollout.evaluate(now)
             self._table_rollout.queue_resends(now)
@@ -157,12 +158,24 @@
         while (message := self._queue.take(now)) is not None:
             session = self.sessions.get(message.proxy)
             if session is not None:
-                session.held = None  # the later message holds all of it
+                session.held = session.refused = None  # the later message holds all of it
                 session.newest = message
                 await self._publish(now, session, message)
             now = self._listener.now()
         return now
 
+    def _requeue_refused(self, now: int) -> None:
+        """Queues refused messages again that would not be refused any more."""
+        for session in self._registry.open_sessions():
+            refused = session.refused
+            if refused is None or now < refused.judge_at:
+                continue
+            if self._validator.is_refused(now, session, refused.message, self.channel.waiting_entries):
+                session.refused = refused.postponed(now)
+                continue
+            session.refused = None
+            self._queue.put_again_unless_superseded(now, refused.message)
+
     async def _retry_writes(self, now: int) -> None:
         for session in self._registry.open_sessions():
             if session.unwritten is not None:
@@ -189,6 +202,8 @@
         for session in self._registry.open_sessions():
             if session.held is not None:
                 waits.append(session.held.until - now)
+            if session.refused is not None:
+                waits.append(session.refused.judge_at - now)
             if session.unwritten is not None:
                 waits.append(self._write_retry_at - now)
         return min(waits)
--- a/willowhook/controlplane/update_queue.py
+++ b/willowhook/controlplane/update_queue.py
@@ -68,8 +68,12 @@
                 continue
             message = session.held.message
             session.held = None
-            if not self.channel.has_message_for(session.number):
-                self.put_again(now, message, message.cost_entries)
+            self.put_again_unless_superseded(now, message)
+
+    def put_again_unless_superseded(self, now: int, message: UpdateMessage) -> None:
+        """Queues a message again, unless a later message of its proxy waits, which holds all of it."""
+        if not self.channel.has_message_for(message.proxy):
+            self.put_again(now, message, message.cost_entries)
 
     def put_newest_again(self, now: int, session: PublisherSession, cost_entries: int) -> None:
         """Queues the newest state of a proxy again, unless a later message waits."""
--- a/willowhook/controlplane/update_validator.py
+++ b/willowhook/controlplane/update_validator.py
@@ -11,7 +11,7 @@
 from ..ticks import TICKS_PER_SECOND
 from ..validation.model import UpdateVersion
 from ..validation.verdict import Outcome, Verdict
-from .proxy_session import HeldMessage, PublisherSession
+from .proxy_session import FIRST_REFUSAL_BACKOFF_TICKS, HeldMessage, PublisherSession, RefusedMessage
 from .proxy_state import UpdateMessage
 from .publisher_context import PublisherContext
 from .publisher_listener import Condition
@@ -82,6 +82,20 @@
             return message
         return self._follow_verdict(now, session, message, verdict)
 
+    def is_refused(
+        self, now: int, session: PublisherSession, message: UpdateMessage, waiting_entries: int
+    ) -> bool:
+        """Whether a message would be refused now. Nothing is recorded."""
+        if not self.is_enabled:
+            return False
+        try:
+            version = self._version(session, message)
+            verdict = self.validation.preview(now, message, version, waiting_entries)
+        except Exception as error:
+            self._disable(error)
+            return False
+        return verdict.outcome is Outcome.REFUSED
+
     def _follow_verdict(
         self, now: int, session: PublisherSession, message: UpdateMessage, verdict: Verdict
     ) -> UpdateMessage | None:
@@ -97,7 +111,10 @@
             last_step = max((step.not_before for step in verdict.steps), default=now + DEFAULT_HOLD_TICKS)
             until = verdict.held_until() or last_step
             session.held = HeldMessage(max(until, now + MIN_HOLD_TICKS), message)
-            self._sessions.mark_open(session)
+        else:
+            judge_at = now + FIRST_REFUSAL_BACKOFF_TICKS
+            session.refused = RefusedMessage(judge_at, 2 * FIRST_REFUSAL_BACKOFF_TICKS, message)
+        self._sessions.mark_open(session)
         if verdict.outcome is not Outcome.SPLIT:
             return None
         return replace(message, view=self.validation.first_step(message.view, verdict))
--- a/willowhook/controlplane/validation_context.py
+++ b/willowhook/controlplane/validation_context.py
@@ -209,12 +209,18 @@
         self, now: int, message: UpdateMessage, version: UpdateVersion, waiting_entries: int
     ) -> Verdict:
         """Judges a message that has left the channel, in which `waiting_entries` still wait."""
+        verdict = self.preview(now, message, version, waiting_entries)
+        self.counts[verdict.outcome.value] = self.counts.get(verdict.outcome.value, 0) + 1
+        return verdict
+
+    def preview(
+        self, now: int, message: UpdateMessage, version: UpdateVersion, waiting_entries: int
+    ) -> Verdict:
+        """Judges a message without counting the verdict."""
         self.world.update_queue(now, waiting_entries)
         tables = self.effect_of(message.proxy, message.view)
         candidate = Candidate(message.proxy, tables, version, message.cost_entries, True)
-        verdict = self.validator.judge(now, candidate)
-        self.counts[verdict.outcome.value] = self.counts.get(verdict.outcome.value, 0) + 1
-        return verdict
+        return self.validator.judge(now, candidate)
 
     @staticmethod
     def first_step(view: ProxyView, verdict: Verdict) -> ProxyView:
