Decisions: under a message cap a bind waits for the spacing unless rule 1 needs it

Cause: bound each proxy that was sent nothing yet between spaced messages.

Change: such a bind goes out once half of what the empty-table grace leaves has passed, as exclusions do with theirs (timing.urgent_after_ticks). At a cap of 12 the spacing is shorter, so the ordinary message carries it.

--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -24,10 +24,9 @@
 from .model import Endpoint, EndpointTable
 from .pending_binds import PendingBinds
 from .queue_limits import EXCLUSION_GATHER_DIVISOR
-from .settings import DeploymentSettings
 from .slow_start import SlowStart
 from .table_updates import TableUpdater
-from .timing import EVALUATION_INTERVAL_TICKS
+from .timing import urgent_after_ticks
 from .update_cost import UPDATE_ENTRIES
 from .weights import EndpointWeights
 
@@ -53,7 +52,8 @@
         self._slow_start = slow_start
         self._weights = weights
         self._updater = updater
-        self._urgent_after_ticks = _urgent_after_ticks(context.settings)
+        grace_ticks = context.settings.rules.drain_grace_ticks
+        self._urgent_after_ticks = urgent_after_ticks(grace_ticks, context.settings.channel)
         self._changed: dict[str, int] = {}  # endpoints that may have to be excluded or readmitted, since when
 
     def note_change(self, now: int, endpoint: str) -> None:
@@ -192,12 +192,3 @@
 def _is_usable(endpoint: Endpoint) -> bool:
     """Whether proxies should be allowed to use an endpoint."""
     return endpoint.is_in_service and not endpoint.restarted_in_service
-
-
-def _urgent_after_ticks(settings: DeploymentSettings) -> int:
-    """How long exclusions may gather while a message cap spaces messages.
-
-    Half of what the grace leaves, once the delay of the message and the wait for a flush are taken off.
-    """
-    delays = settings.channel.max_delay_ticks + EVALUATION_INTERVAL_TICKS
-    return max(settings.rules.drain_grace_ticks - delays, 0) // 2
--- a/willowhook/decisions/pending_binds.py
+++ b/willowhook/decisions/pending_binds.py
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[int, BindPriority] = {}
+        self._since: dict[int, int] = {}  # in ticks
 
     def __contains__(self, proxy: int) -> bool:
         return proxy in self._waiting
@@ -43,15 +44,22 @@
         """A proxy has joined."""
         since = now // TICKS_PER_SECOND - FRESH_HEAD_START_SECONDS * is_fresh
         self._waiting[proxy] = BindPriority(since, -rate_per_second, not is_fresh)
+        self._since[proxy] = now
 
     def rebind_all(self, now: int, proxies: Iterable[int]) -> None:
         """These proxies, and no others, are to be bound again."""
         priority = BindPriority(now // TICKS_PER_SECOND, 0.0, has_earlier_table=False)
         self._waiting = dict.fromkeys(proxies, priority)
+        self._since = dict.fromkeys(self._waiting, now)
 
     def remove(self, proxy: int) -> None:
         """A proxy was bound, or has left."""
         self._waiting.pop(proxy, None)
+        self._since.pop(proxy, None)
+
+    def waited_ticks(self, now: int, proxy: int) -> int:
+        """How long a waiting proxy has waited."""
+        return now - self._since[proxy]
 
     def in_order(self, *, with_earlier_table: bool) -> list[int]:
         """The waiting proxies, the most urgent first, with or without those that have an earlier table."""
