Tests: the decider of the both-fronts test keeps still at the end, and the end state is compared

The test was wrong, not the program. Restless.evaluate set `left` to -1 after sixty changes and went on counting down, as -1 is true: -1 stood for one evaluation of 20 ms, which the wait, looking each 20 ms, missed now and then; and the tables that were compared still changed.

Replaced by a stricter one: the decider stops (`left > 0`); all three proxies must come to the known end state within 5 s, table 1 alone with all endpoints alike, be equal, and stay so for a second, whole resources compared each 0.1 s. Before, any moment of equality was enough.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import gzip
 import hashlib
 import json
@@ -358,6 +359,22 @@
             self.rows[kind].pop(name, None)
 
 
+def read_files(proxy: FileProxy) -> Held:
+    """What a proxy on files can read now."""
+    files = Held()
+    for name, data in read_group(str(proxy.down))[1].items():
+        files.whole(name[:-5], decode(data, forms.DiscoveryResponse))
+    return files
+
+
+def is_final(held: Held, endpoints: int) -> bool:
+    """Whether a proxy holds what `Restless` ends with: table 1 alone, with all endpoints alike."""
+    rows = [decode(encode(row), forms.ClusterLoadAssignment) for row in held.rows["eds"].values()]
+    lines = [line for table in rows for line in tables.lines(table)]
+    names = [table.cluster_name.rpartition(".")[2] for table in rows]
+    return names == ["t1"] and [line[4] for line in lines] == [1.0] * endpoints
+
+
 def hosts_of(got: forms.DiscoveryResponse) -> set[str]:
     rows = [decode(bytes(raw), forms.ClusterLoadAssignment) for raw in got.resources]
     return {line[0] for table in rows for line in tables.lines(table) if not line[5]}
@@ -459,12 +476,12 @@
 
 
 class Restless(Churn):
-    """Orders by chance, for a while, then keeps still."""
+    """Orders by chance, for a while, then gives all endpoints one weight and keeps still."""
 
     left = 60
 
     def evaluate(self, now: int) -> None:
-        if self.hosts and len(self.joined) == 3 and self.left:
+        if self.hosts and len(self.joined) == 3 and self.left > 0:
             self.left -= 1
             chance = random.Random(self.left)
             for name in self.hosts:
@@ -528,15 +545,18 @@
             decider: Any = service.controller
             await wait_until(lambda: decider.left == -1, 20)
             with trio.fail_after(5):
-                same = False
-                while not same:
+                while not (
+                    read_files(by_files).rows == one.rows == two.rows and is_final(one, len(discovery.hosts))
+                ):
                     await trio.sleep(0.1)
                     by_files.answer()
-                    files = Held()
-                    for name, data in read_group(str(by_files.down))[1].items():
-                        files.whole(name[:-5], decode(data, forms.DiscoveryResponse))
-                    same = files.rows == one.rows == two.rows
-            assert len(files.rows["cds"]) == len(service.terms.routes) and files.rows["rds"]
+            final = copy.deepcopy(one.rows)
+            for _ in range(10):  # nothing may follow: the decider keeps still
+                await trio.sleep(0.1)
+                by_files.answer()
+                assert decider.left == -1
+                assert read_files(by_files).rows == one.rows == two.rows == final
+            assert len(final["cds"]) == len(service.terms.routes) and final["rds"]
             nursery.cancel_scope.cancel()
         await by_calls.close()
         await by_delta.close()
