Signals: a second one no longer kills a process that is ending, nor one that is starting

What operators saw: SIGTERM twice, or SIGHUP after SIGTERM, ended a controller with -15 or -1 instead of 0, a crash to whoever watches it; a SIGHUP during the start ended the process. In the file control plane the stop was cut off.

Cause: trio.open_signal_receiver restores the action before it and delivers again what came meanwhile, and that action was the default one; before the receiver is opened it holds as well, through the imports.

Fix: receive_signals leaves an action that does nothing, then SIG_IGN, which outlasts the interpreter's end. The platform's process holds its signals back before its imports and releases them once the receiver stands, so none is lost.

--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -19,6 +19,7 @@
     free_port,
     weights_in,
 )
+from process_signals import HELD_BACK, has_signal
 
 from willowhook.platform.framing import encode_frame
 
@@ -108,6 +109,43 @@
     assert controller.run(scenario).count("configuration reload failed") == 1
 
 
+@pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_signals_in_series_end_the_process_with_code_0(tmp_path: Path, second: signal.Signals) -> None:
+    """Guards against a second signal that meets the default action while the process ends."""
+    controller = ControllerProcess(tmp_path)
+    controller.discovery.list("h0")
+
+    async def scenario(process: subprocess.Popen[bytes]) -> None:
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            process.send_signal(second)
+            await trio.sleep(0.0005)
+        assert process.returncode == 0
+
+    assert "error" not in controller.run(scenario)
+
+
+def test_signals_during_the_start_are_held_back(tmp_path: Path) -> None:
+    """Guards against a SIGHUP that ends a process which has no receiver yet."""
+    controller = ControllerProcess(tmp_path)
+    with (
+        controller.log_path.open("wb") as log,
+        subprocess.Popen(**controller.command(), stderr=log) as process,
+    ):
+        while not has_signal(process.pid, HELD_BACK, signal.SIGHUP):
+            assert not _answers(controller.port), "it serves and never held signals back"
+        process.send_signal(signal.SIGHUP)
+        trio.run(controller.wait_until_ready)
+        assert "configuration reloaded" in controller.read_log()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(5) == 0
+
+
+def _answers(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
 def test_proxy_that_joins_on_two_connections_in_one_turn_keeps_the_newer(tmp_path: Path) -> None:
     controller = ControllerProcess(tmp_path)
     controller.discovery.list("h0")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,6 +5,9 @@
 import os
 import resource
 import shutil
+import signal
+import subprocess
+import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -13,9 +16,11 @@
 import pytest
 import trio
 from click.testing import CliRunner
+from process_signals import HANDLED, has_signal
 from service_harness import FakeDiscovery, FileProxy, RecordingLog, serve, wait_until
 
 from willowhook.cli.main import main
+from willowhook.config.example import EXAMPLE
 from willowhook.controlplane.service import Service
 from willowhook.decisions.events import EndpointListReceived, ProxyJoined
 from willowhook.files.layout import FolderTaken
@@ -337,6 +342,23 @@
     assert any(row["kind"] == "again" for row in read_records(str(tmp_path / "records")))
 
 
+def test_signals_in_series_do_not_interrupt_the_stop(tmp_path: Path) -> None:
+    """Guards against a second SIGTERM that meets the default action while the controller stops."""
+    replace = msgspec.structs.replace
+    files = replace(EXAMPLE.files, folder=str(tmp_path / "d"))
+    records = replace(EXAMPLE.records, file=str(tmp_path / "records"))
+    config, log = tmp_path / "c.json", tmp_path / "log"
+    config.write_bytes(msgspec.json.encode(replace(EXAMPLE, files=files, records=records)))
+    command = [sys.executable, "-m", "willowhook.cli", "controller", "--config", str(config)]
+    with log.open("wb") as output, subprocess.Popen(command, stderr=output) as process:
+        while not has_signal(process.pid, HANDLED, signal.SIGTERM):
+            time.sleep(0.01)
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.0005)
+    assert process.returncode == 0 and "controller stopped" in log.read_text()
+
+
 def test_draining_controller_sends_its_proxies_away_one_by_one(tmp_path: Path) -> None:
     async def play(service: Service, discovery: FakeDiscovery, log: RecordingLog) -> None:
         fleet = [FileProxy(service, f"p{k}") for k in range(4)]
--- a/willowhook/controlplane/main.py
+++ b/willowhook/controlplane/main.py
@@ -13,6 +13,7 @@
 
 from ..config.terms import Terms
 from ..files.layout import FolderTaken
+from ..signals import receive_signals
 from .service import Service
 
 EXIT_FOLDER_UNUSABLE = 3
@@ -89,7 +90,7 @@
 
 
 async def _cancel_on_signal(scope: trio.CancelScope, log: Any) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
             log.info("stopping on signal", signal=signal.Signals(number).name)
             scope.cancel()
--- a/willowhook/platform/lifecycle.py
+++ b/willowhook/platform/lifecycle.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-import signal
 from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
+from ..signals import receive_signals
+from .held_signals import RELOAD_SIGNAL, SERVER_SIGNALS, release_signals
+
 Task = Callable[[], Awaitable[None]]
 
 
@@ -15,12 +17,13 @@
 
     An exception of a task cancels the others and is raised in an exception group.
     """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with receive_signals(*SERVER_SIGNALS) as signals:
+        release_signals()
         async with trio.open_nursery() as nursery:
             for task in tasks:
                 nursery.start_soon(task)
             async for received in signals:
-                if received != signal.SIGHUP:
+                if received != RELOAD_SIGNAL:
                     nursery.cancel_scope.cancel()
                     break
                 nursery.start_soon(reload)
