Tests: a seeded soak of real controller processes on sockets

What it plays: two processes as the platform starts them, 5 to 200 proxies that use their connections to the end, a list that drains, removes, restarts and adds endpoints; SIGTERM once and twice with SIGKILL 0.7 s later, kills, SIGHUP in series with a moved discovery and a half-written file, SIGHUP then SIGTERM; discovery late, in pieces, empty, backwards, silent or closed; reconnect loops and, in some runs, a crowd that never joins. A dead controller's proxies go to the other.

A first form of it missed two (a dropped exclusion that a table update makes good in time, memory that is never touched): the faults were made real, the checks stayed.

--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -54,9 +54,9 @@
         assert all(part.get("part", False) is True for part in parts[:-1])
         assert not parts[-1].get("part", False)
         for part in parts:
-            self._apply_part(part)
+            self.apply_part(part)
 
-    def _apply_part(self, part: Fields) -> None:
+    def apply_part(self, part: Fields) -> None:
         for name in part.get("for", self.route_names):
             if part.get("replace"):
                 self.tables[name] = {}
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -20,6 +20,7 @@
 from willowhook.platform.framing import FrameDecoder, encode_frame
 from willowhook.web.wire import Call, Reply, answer_calls
 
+REPOSITORY = Path(__file__).parent.parent
 SETTINGS = json.loads((Path(__file__).parent / "options.json").read_text())
 ATTACH = {"t": "attach", "proxy": 0, "zone": "north", "weight": 5.0, "fresh": True}
 
@@ -95,8 +96,10 @@
 class ControllerProcess:
     """The configuration of a controller process, and how to run and reach it."""
 
-    def __init__(self, folder: Path, **limits: int) -> None:
+    def __init__(self, folder: Path, settings: Fields = SETTINGS, **limits: int) -> None:
         self.configuration_path = folder / "config.json"
+        self.settings = settings
+        self.arguments = ["-m", "willowhook.platform"]
         self.log_path = folder / "log"
         self.port = free_port()
         self.discovery_port = free_port()
@@ -112,15 +115,15 @@
             "seed": "8c",
             "limits": self.limits,
             "known": {"seq": 0, "whole": True, "hosts": []},
-            "settings": SETTINGS,
+            "settings": self.settings,
         }
         self.configuration_path.write_text(json.dumps(configuration))
 
     def command(self) -> dict[str, Any]:
         """The arguments of `subprocess.Popen` that start the process."""
         return {
-            "args": [sys.executable, "-m", "willowhook.platform"],
-            "env": {**os.environ, PATH_VARIABLE: str(self.configuration_path)},
+            "args": [sys.executable, *self.arguments],
+            "env": {**os.environ, PATH_VARIABLE: str(self.configuration_path), "PYTHONPATH": str(REPOSITORY)},
         }
 
     def read_log(self) -> str:
--- /dev/null
+++ b/tests/soak_faults.py
@@ -0,0 +1,135 @@
+"""A controller process with one fault put in by hand, which the soak has to find: `soak_faults.py FAULT`."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+import trio
+
+from willowhook.decisions.binding import ProxyBinder
+from willowhook.decisions.exclusions import EndpointExclusions
+from willowhook.decisions.message_cap import MessageCap
+from willowhook.decisions.pacing import UpdatePacer
+from willowhook.decisions.slow_start import SlowStart
+from willowhook.platform.connection import Connection
+from willowhook.platform.connection_server import ConnectionServer
+from willowhook.platform.discovery_watch import DiscoveryWatch
+from willowhook.platform.process import run_process
+from willowhook.platform.proxy_updates import ProxyUpdates
+
+SLOW_START_SECONDS = 10.5
+WASTED_BYTES = 80 << 20
+
+Install = Callable[[], object]
+
+
+class Fault(NamedTuple):
+    """A fault, and what the soak has to find.
+
+    Attributes:
+        install: puts it into this process.
+        finding: a part of the text of a finding.
+    """
+
+    install: Install
+    finding: str
+
+
+def replace(owner: type, name: str, function: Callable[..., Any]) -> Install:
+    """Replaces a method for the rest of the process."""
+    return lambda: patch.object(owner, name, function).start()
+
+
+def _drop_updates_of_proxy_0() -> None:
+    """It is sent its first table and nothing after that."""
+    send_pending = ProxyUpdates._send_pending
+
+    def send(self: ProxyUpdates, proxy: int, session: Any, cache: Any) -> None:
+        if proxy != 0 or session.tables_to_replace:
+            send_pending(self, proxy, session, cache)
+
+    patch.object(ProxyUpdates, "_send_pending", send).start()
+
+
+def _never_bind_proxy_1() -> None:
+    bind = ProxyUpdates.bind
+
+    def bind_others(self: ProxyUpdates, proxy: int, table: int, routes: Any) -> None:
+        if proxy != 1:
+            bind(self, proxy, table, routes)
+
+    patch.object(ProxyUpdates, "bind", bind_others).start()
+
+
+def _leak_descriptors() -> None:
+    kept: list[Any] = []
+    close = Connection.close
+
+    def keep(self: Connection) -> None:
+        if self.is_open:
+            kept.append(self.socket.dup())
+        close(self)
+
+    patch.object(Connection, "close", keep).start()
+
+
+def _follow_discovery_once() -> None:
+    exchange_once = DiscoveryWatch._exchange_once
+
+    async def exchange(self: DiscoveryWatch) -> None:
+        if self.version:
+            await trio.sleep_forever()
+        await exchange_once(self)
+
+    patch.object(DiscoveryWatch, "_exchange_once", exchange).start()
+
+
+def _ignore_message_cap() -> None:
+    patch.object(MessageCap, "_has_room", lambda *_: True).start()
+    patch.object(UpdatePacer, "can_send", lambda *_: True).start()
+
+
+def _ignore_slow_start() -> None:
+    patch.object(SlowStart, "is_warming_up", lambda *_: False).start()
+    patch.object(ProxyBinder, "stop_holding_back", lambda *_: None).start()
+
+
+def _waste_memory() -> None:
+    patch.object(sys, "wasted", b"x" * WASTED_BYTES, create=True).start()
+
+
+def _reject_nobody() -> None:
+    async def wait(_server: ConnectionServer) -> None:
+        await trio.sleep_forever()
+
+    patch.object(ConnectionServer, "_reject_overdue_connections", wait).start()
+
+
+FAULTS = {
+    "dropped notification": Fault(_drop_updates_of_proxy_0, "proxy 0 may use"),
+    "grace overrun": Fault(replace(EndpointExclusions, "_exclude", lambda *_: False), "may use"),
+    "proxy never bound": Fault(_never_bind_proxy_1, "proxy 1 has no endpoint"),
+    "stuck restart": Fault(lambda: time.sleep(SLOW_START_SECONDS), "starts took over"),
+    "leaked descriptors": Fault(_leak_descriptors, "descriptors"),
+    "memory": Fault(_waste_memory, " MB"),
+    "discovery followed once": Fault(_follow_discovery_once, "did not ask for the last list"),
+    "no message cap": Fault(_ignore_message_cap, "messages in"),
+    "no slow start": Fault(_ignore_slow_start, "of the mean weight"),
+    "nobody rejected": Fault(_reject_nobody, "bad client"),
+    "wrong exit code": Fault(lambda: None, "ended with code 7"),
+    "output that is no log line": Fault(lambda: print("oops", file=sys.stderr), "oops"),
+}
+
+
+def main(name: str) -> int:
+    FAULTS[name].install()
+    exit_code = run_process()
+    return 7 if name == "wrong exit code" else exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
