Platform: a proxy reports its own requests only

What callers could see: any proxy's client_stats counted for whatever proxy it names, so one could give another a demand that it does not have, and admission limits follow demand.

Cause: the decoder ignored whose connection carried the report, as collectors may pass on reports for proxies.

Evidence: test_request_report_for_another_proxy_is_refused_unless_a_collector_passes_it_on failed before with "DID NOT RAISE MalformedFieldError". Looked at beside it: acknowledgements go by the connection already, endpoint reports name no proxy.

--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -45,6 +45,13 @@
     assert DECODER.decode(fields, 4) == RequestReport(4, "read", 0, 5000)
 
 
+def test_request_report_for_another_proxy_is_refused_unless_a_collector_passes_it_on() -> None:
+    """Guards against a proxy that speaks for others."""
+    with pytest.raises(MalformedFieldError, match=r"^proxy: expected 5, whose connection it is, got 4$"):
+        DECODER.decode(CLIENT_STATS, 5)
+    assert DECODER.decode(CLIENT_STATS, None) == RequestReport(4, "read", 19, 5000)
+
+
 @pytest.mark.parametrize("message_type", [None, 5, "", "odd", ["hb"], {"hb": 1}, True])
 def test_unknown_message_type_is_refused(message_type: object) -> None:
     with pytest.raises(MalformedFieldError, match="^t: "):
--- a/willowhook/platform/messages.py
+++ b/willowhook/platform/messages.py
@@ -139,10 +139,11 @@
             endpoint, attempts, failures, ticks_from_milliseconds(mean_latency_ms), cpu_utilization
         )
 
-    def _decode_request_report(self, fields: Fields, _proxy: int | None) -> RequestReport:
-        # the proxy that the report concerns, not the one whose connection carried it: a collector may report
-        # for proxies
+    def _decode_request_report(self, fields: Fields, carrier: int | None) -> RequestReport:
         proxy = read_integer(fields, "proxy", self._last_proxy)
+        # a collector passes on the reports of any proxy, a proxy speaks for itself alone
+        if carrier is not None and proxy != carrier:
+            raise MalformedFieldError(f"proxy: expected {carrier}, whose connection it is, got {proxy}")
         route = read_text(fields, "class")
         if route not in self._routes:
             raise MalformedFieldError("class: unknown route")
