Decisions: a proxy that acknowledges nothing while others do is logged and its session ended

What callers could see: a proxy that reads updates and acknowledges none may go by an old table for as long as its connection lasts, to draining endpoints too. No line told of it, and every message to it was kept and gone through.

Cause: ChannelEstimate drops a proxy's messages only when it acknowledges or leaves; giving up by time stopped counting them and kept them.

Fix: once more than 64 messages to a proxy are proven to have left (others acknowledged later flushes), the controller logs `proxy unresponsive`, forgets them and commands end_session; the platform closes the connection, so the proxy joins again and gets whole tables. While nobody acknowledges, nothing is proven. The simulator's wire and the file control plane cannot end a session: there the memory is bounded and the line written.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -88,6 +88,7 @@
         health_checks: endpoints to be checked.
         excluded_for_proxy: by proxy: what was excluded there alone.
         sync_marker: of the next messages; -1: none yet.
+        ended_sessions: proxies whose session was ended, in order.
     """
 
     settings: DeploymentSettings
@@ -111,6 +112,7 @@
     health_checks: list[str] = field(default_factory=list)
     excluded_for_proxy: dict[int, list[str]] = field(default_factory=dict)
     sync_marker: int = -1
+    ended_sessions: list[int] = field(default_factory=list)
 
     def schedule_evaluation(self, delay_ticks: int) -> None:
         self.timers.append(self.now + delay_ticks)
@@ -156,6 +158,9 @@
         assert self.settings.exclusions_outlive_sessions and proxy in self.joined_proxies
         self._charge([proxy], len(endpoints))
 
+    def end_session(self, proxy: int) -> None:
+        self.ended_sessions.append(proxy)
+
     def forget_endpoint(self, endpoint: str) -> None:
         assert not any(endpoint in weights for weights in self.tables.values())
         self.excluded.pop(endpoint)
--- a/tests/decisions/test_channel.py
+++ b/tests/decisions/test_channel.py
@@ -4,7 +4,7 @@
 
 from builders import SETTINGS
 
-from willowhook.decisions.channel import ChannelEstimate
+from willowhook.decisions.channel import MAX_UNACKNOWLEDGED_MESSAGES, ChannelEstimate
 
 
 def joined_channel(proxies: int) -> ChannelEstimate:
@@ -77,3 +77,28 @@
     channel.acknowledge(20_000, 0, 2)
     channel.drain(20_000)
     assert channel.queue_estimate() == 10
+
+
+def test_proxy_that_acknowledges_nothing_while_others_do_is_unresponsive() -> None:
+    channel = joined_channel(2)
+    for number in range(1, MAX_UNACKNOWLEDGED_MESSAGES + 2):
+        assert channel.unresponsive_proxies() == []
+        channel.charge([0, 1], 1)
+        channel.flush(0)
+        channel.acknowledge(0, 0, number)
+    channel.charge([0, 1], 1)
+    channel.flush(0)
+    assert channel.unresponsive_proxies() == []  # the flush of its last message may still wait
+    channel.acknowledge(0, 0, channel.last_marker)
+    assert channel.unresponsive_proxies() == [1]
+    waiting = channel.unproven_entries()
+    assert channel.give_up_messages(1) == MAX_UNACKNOWLEDGED_MESSAGES + 1
+    assert len(channel.unacknowledged[1]) == 1 and channel.unproven_entries() == waiting
+
+
+def test_nobody_is_unresponsive_while_nothing_is_acknowledged() -> None:
+    channel = joined_channel(2)
+    for _ in range(3 * MAX_UNACKNOWLEDGED_MESSAGES):
+        channel.charge([0, 1], 1)
+        channel.flush(0)
+    assert channel.unresponsive_proxies() == []
--- a/tests/test_platform_proxy_updates.py
+++ b/tests/test_platform_proxy_updates.py
@@ -172,7 +172,7 @@
 
     def ignore(self, *_: object) -> None: ...
 
-    forget_endpoint = schedule_evaluation = log = ignore
+    forget_endpoint = end_session = schedule_evaluation = log = ignore
     watch_endpoints = fetch_endpoint_list = check_health = ignore
 
 
--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -21,6 +21,7 @@
 )
 from process_signals import HELD_BACK, has_signal
 
+from willowhook.decisions.channel import MAX_UNACKNOWLEDGED_MESSAGES
 from willowhook.platform.framing import encode_frame
 
 FIRST_BYTES_OF_UNIDENTIFIED = {
@@ -218,6 +219,33 @@
     controller.run(scenario)
 
 
+def test_proxy_that_acknowledges_nothing_while_others_do_is_closed(tmp_path: Path) -> None:
+    """Guards against messages that are kept without bound, and without a line in the log."""
+    controller = ControllerProcess(tmp_path)
+    for host in ("h0", "h1"):
+        controller.discovery.list(host)
+
+    async def scenario(process: subprocess.Popen[bytes]) -> None:
+        proxy = await controller.connect()
+        await proxy.send(ATTACH)
+        silent = await controller.connect()
+        await silent.send({**ATTACH, "proxy": 1})
+        await proxy.receive_until(lambda received: set(weights_in(received)) == {"h0", "h1"})
+        for _ in range(MAX_UNACKNOWLEDGED_MESSAGES):
+            for health, field in (("leaving", "drop"), ("active", "undrop")):
+                proxy.received.clear()
+                controller.discovery.list("h1", health)
+                await proxy.receive_until(
+                    lambda received, field=field: any(field in part for part in received)
+                )
+        with trio.fail_after(3):
+            await silent.receive_until_closed()
+        await proxy.send({"t": "hb"})
+        await proxy.receive_until(lambda received: {"t": "hb_ok"} in received)
+
+    assert re.search(r"proxy unresponsive proxy=1 unacknowledged_messages=\d+", controller.run(scenario))
+
+
 def test_address_in_use_ends_the_process_with_code_2(tmp_path: Path) -> None:
     controller = ControllerProcess(tmp_path)
     with socket.socket() as other:
--- a/willowhook/controlplane/controller_runtime.py
+++ b/willowhook/controlplane/controller_runtime.py
@@ -95,6 +95,9 @@
         """Readmits endpoints at one proxy."""
         self._proxy_states.readmit_for_proxy(proxy, endpoints)
 
+    def end_session(self, proxy: int) -> None:
+        """Does nothing: silent proxies are given up, and files written again until they are acknowledged."""
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops the state that is kept about an endpoint."""
         self._proxy_states.forget_endpoint(endpoint)
--- a/willowhook/decisions/channel.py
+++ b/willowhook/decisions/channel.py
@@ -15,6 +15,7 @@
 from .settings import ChannelSettings
 from .update_cost import SYNC_MARKER_ENTRIES, message_overhead
 
+MAX_UNACKNOWLEDGED_MESSAGES = 64  # of one proxy, once they have left; one that is only slow catches up before
 MARKERS = 1 << 16  # number of sync markers: two bytes on the wire
 
 
@@ -146,6 +147,23 @@
             self._lost_before = now - lost_after_ticks
         self.overdue = sum(message.entries for message in self._unproven_messages() if message.due_at < now)
 
+    def unresponsive_proxies(self) -> list[int]:
+        """Proxies that acknowledge nothing, though many messages to them are proven to have left."""
+        return [
+            proxy
+            for proxy, messages in self.unacknowledged.items()
+            if len(messages) > MAX_UNACKNOWLEDGED_MESSAGES
+            and messages[MAX_UNACKNOWLEDGED_MESSAGES].flush <= self._flushes_proven
+        ]
+
+    def give_up_messages(self, proxy: int) -> int:
+        """Forgets what was sent to a proxy and is proven to have left. Returns the number of messages."""
+        messages = self.unacknowledged.get(proxy, [])
+        left = [message for message in messages if message.flush > self._flushes_proven]
+        given_up = len(messages) - len(left)
+        messages[:] = left
+        return given_up
+
     def _unproven_messages(self) -> Iterator[SentMessage]:
         for messages in self.unacknowledged.values():
             for message in messages:
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -263,8 +263,15 @@
             self.pending_binds.rebind_all(now, self.fleet.proxies)
         self._endpoint_list.refetch_if_due(now)
         self._step_weights(now)
+        self._end_unresponsive_sessions()
         self._runtime.schedule_evaluation(EVALUATION_INTERVAL_TICKS)
 
+    def _end_unresponsive_sessions(self) -> None:
+        for proxy in self.channel.unresponsive_proxies():
+            messages = self.channel.give_up_messages(proxy)
+            self._runtime.log(f"proxy unresponsive proxy={proxy} unacknowledged_messages={messages}")
+            self._runtime.end_session(proxy)
+
     def _evaluate_load(self, now: int) -> None:
         sample = self._load.evaluate(now)
         if sample is not None:
--- a/willowhook/decisions/runtime.py
+++ b/willowhook/decisions/runtime.py
@@ -73,6 +73,12 @@
     def readmit_for_proxy(self, proxy: int, endpoints: Sequence[str]) -> None:
         """Readmits endpoints at one proxy that may hold exclusions of another controller."""
 
+    def end_session(self, proxy: int) -> None:
+        """Ends the session of a proxy that acknowledges nothing; it may join again.
+
+        The end comes as a `ProxyLeft`. Where proxies cannot be made to leave, nothing happens.
+        """
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Says that an endpoint is gone for good and will not be named again."""
 
--- a/willowhook/platform/proxy_sessions.py
+++ b/willowhook/platform/proxy_sessions.py
@@ -59,6 +59,12 @@
         """The number of proxies that have a session."""
         return len(self._connection_by_proxy)
 
+    def end_session(self, proxy: int) -> None:
+        """Closes the connection of a proxy, if it has one; its `ProxyLeft` is submitted at once."""
+        connection = self._connection_by_proxy.get(proxy)
+        if connection is not None:
+            self.connections.close(connection)
+
     def _handle_message(self, connection: Connection, fields: Fields) -> None:
         """Raises IdentificationError if the first message, heartbeats aside, does not identify the peer."""
         try:
--- a/willowhook/platform/runtime.py
+++ b/willowhook/platform/runtime.py
@@ -17,6 +17,7 @@
 
     Args:
         updates: executes the commands on tables and proxies.
+        end_session: ends the session of a proxy.
         discovery: executes the commands on the endpoint list.
         evaluations: holds the times of scheduled evaluations.
         write_log: writes one line to the log.
@@ -25,11 +26,13 @@
     def __init__(
         self,
         updates: ProxyUpdates,
+        end_session: Callable[[int], None],
         discovery: DiscoveryWatch,
         evaluations: EvaluationTimer,
         write_log: WriteLog,
     ) -> None:
         self._updates = updates
+        self._end_session = end_session
         self._discovery = discovery
         self._evaluations = evaluations
         self._write_log = write_log
@@ -85,6 +88,10 @@
         """Executed by `ProxyUpdates`."""
         self._updates.readmit_for_proxy(proxy, endpoints)
 
+    def end_session(self, proxy: int) -> None:
+        """Executed by `ProxySessions`."""
+        self._end_session(proxy)
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Executed by `ProxyUpdates`."""
         self._updates.forget_endpoint(endpoint)
--- a/willowhook/platform/server.py
+++ b/willowhook/platform/server.py
@@ -53,7 +53,9 @@
         self._reloader = ConfigurationReloader(read_again, self._apply_configuration, write_log)
         updates = self._sessions.updates
         evaluations = EvaluationTimer(self._clock)
-        runtime = PlatformRuntime(updates, self._discovery, evaluations, write_log)
+        runtime = PlatformRuntime(
+            updates, self._sessions.end_session, self._discovery, evaluations, write_log
+        )
         self._controller = Controller(runtime, settings, configuration.seed, self._clock.now())
         self._loop = ControlLoop(self._controller, updates, evaluations, self._clock)
         self._load_endpoint_list(configuration.endpoint_list)
--- a/willowhook/simulator/commands.py
+++ b/willowhook/simulator/commands.py
@@ -86,6 +86,9 @@
     def readmit_for_proxy(self, proxy: int, endpoints: Sequence[str]) -> None:
         """Never called: on this wire a bound proxy obeys the exclusions of its own controller alone."""
 
+    def end_session(self, proxy: int) -> None:
+        """Says nothing: on this wire a controller cannot end a session."""
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Says nothing: on this wire endpoints that are gone stay known."""
 
