Settings: each field is checked by type and range, and an error names key, value and expectation

What operators saw: a settings document with a number too large for a float ended the process at SIGHUP with exit code 4; a text where a list belongs became its letters, "false" was true, rates and objectives of 0 and infinite ones were taken.

Cause: values were converted, not checked, and OverflowError was none of the errors that decode_settings caught.

Fix: settings_fields.py reads each field by type and range; an error is one line, and the configuration in force stays.

Evidence: test_malformed_setting_at_sighup_leaves_the_configuration_in_force on: 3 of 4 red (large number, 0, text; the infinite one is refused by the JSON decoder); the new cases of test_settings_codec.py.

--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -110,6 +110,33 @@
     assert controller.run(scenario).count("configuration reload failed") == 1
 
 
+@pytest.mark.parametrize(
+    "value", [10**400, 0, "4.0", float("inf")], ids=["large", "zero", "text", "infinite"]
+)
+def test_malformed_setting_at_sighup_leaves_the_configuration_in_force(tmp_path: Path, value: object) -> None:
+    """Guards against a number that ends the program."""
+    controller = ControllerProcess(tmp_path)
+    controller.discovery.list("h0")
+    controller.settings = {
+        **controller.settings,
+        "extra": {**controller.settings["extra"], "egress-per-s": value},
+    }
+
+    async def scenario(process: subprocess.Popen[bytes]) -> None:
+        controller.write_configuration(free_port())
+        process.send_signal(signal.SIGHUP)
+        with trio.fail_after(5):
+            while "configuration reload failed" not in controller.read_log():
+                await trio.sleep(0.02)
+        proxy = await controller.connect()
+        await proxy.send(ATTACH)
+        await proxy.receive_until(lambda received: set(weights_in(received)) == {"h0"})
+        process.send_signal(signal.SIGTERM)
+        assert await trio.to_thread.run_sync(process.wait) == 0
+
+    controller.run(scenario)
+
+
 @pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
 def test_signals_in_series_end_the_process_with_code_0(tmp_path: Path, second: signal.Signals) -> None:
     """Guards against a second signal that meets the default action while the process ends."""
--- a/tests/test_settings_codec.py
+++ b/tests/test_settings_codec.py
@@ -182,6 +182,42 @@
         decode_settings(document_with(path, 5))
 
 
+@pytest.mark.parametrize("path", NUMBERS, ids=lambda path: str(path[-1]))
+@pytest.mark.parametrize("value", [float("inf"), float("nan"), -1, True, "2", 10**400])
+def test_value_that_is_no_finite_number_from_0_on_is_refused_by_name(path: Path, value: object) -> None:
+    with pytest.raises(SettingsError, match=f"^{path[-1]}: expected a number"):
+        decode_settings(document_with(path, value))
+
+
+@pytest.mark.parametrize("path", [*((*ROUTE, key) for key in ("aim", "deadline")), ("extra", "egress-per-s")])
+def test_rate_or_objective_of_0_is_refused_by_name(path: Path) -> None:
+    with pytest.raises(SettingsError, match=f"^{path[-1]}: expected a number over 0, got 0 "):
+        decode_settings(document_with(path, 0))
+
+
+@pytest.mark.parametrize(
+    "path", [("zones",), (*ROUTE, "only-zones"), (*ROUTE, "only-kinds"), ("load-info", "fields")]
+)
+@pytest.mark.parametrize("value", ["north", [1], {"north": 1}])
+def test_value_that_is_no_list_of_texts_is_refused_by_name(path: Path, value: object) -> None:
+    """Guards against a text that becomes a list of its letters."""
+    with pytest.raises(SettingsError, match=f"^{path[-1]}: expected a list of texts, got "):
+        decode_settings(document_with(path, value))
+
+
+@pytest.mark.parametrize(
+    ("path", "value"), [(("allowed", "probes"), "false"), (("extra", "class-own-zone"), ["false"])]
+)
+def test_word_in_place_of_true_or_false_is_refused_by_name(path: Path, value: object) -> None:
+    with pytest.raises(SettingsError, match=f"^{path[-1]}: expected .*true .* false, got "):
+        decode_settings(document_with(path, value))
+
+
+def test_fraction_in_place_of_a_whole_number_is_refused_by_name() -> None:
+    with pytest.raises(SettingsError, match=r"^proxies: expected a whole number, got 2.5 "):
+        decode_settings(document_with(("extra", "proxies"), 2.5))
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", "null", "7"])
 def test_text_that_is_no_json_object_is_refused(text: str) -> None:
     with pytest.raises(SettingsError):
--- a/willowhook/platform/configuration.py
+++ b/willowhook/platform/configuration.py
@@ -13,7 +13,8 @@
 
 from ..decisions.settings import DeploymentSettings
 from ..errors import WillowhookError
-from ..settings_codec import SettingsError, decode_settings
+from ..settings_codec import decode_settings
+from ..settings_fields import SettingsError
 from .address import Address
 from .endpoint_list import EMPTY_LIST
 from .fields import Fields
--- a/willowhook/settings_codec.py
+++ b/willowhook/settings_codec.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping, Sequence
-from typing import Any
 
 from .decisions.runtime import RetryMode
 from .decisions.settings import (
@@ -22,8 +20,32 @@
     Route,
     RuleSettings,
 )
-from .errors import WillowhookError
-from .ticks import ticks_from_seconds
+from .settings_fields import (
+    Document,
+    SettingsError,
+    check_object,
+    read_boolean,
+    read_booleans,
+    read_integer,
+    read_number,
+    read_object,
+    read_objects,
+    read_positive_number,
+    read_positive_ticks,
+    read_text,
+    read_texts,
+    read_ticks,
+)
+from .ticks import TICKS_PER_SECOND, ticks_from_seconds
+
+__all__ = [
+    "SettingsError",
+    "admission_unit",
+    "decode_settings",
+    "load_source",
+    "parse_settings",
+    "retry_mode",
+]
 
 CAPACITY_WEIGHTS = frozenset({"nominal", "rough"})
 ADMISSION_UNITS = {"ratio": AdmissionUnit.FRACTION, "rps": AdmissionUnit.REQUESTS_PER_SECOND}
@@ -31,30 +53,22 @@
 RETRY_CODES = frozenset(RetryMode)
 LOAD_SOURCES = {"probe": LoadSource.HEALTH_CHECKS, "none": LoadSource.NONE}
 
-Document = Mapping[str, Any]  # a JSON object as it was decoded
-
-
-class SettingsError(WillowhookError):
-    """The settings document is of no use; the message names the key or the value."""
+DEFAULT_CAP_WINDOW_S = 10
+DEFAULT_OVERLOAD_FACTOR = 1.0
 
 
 def parse_settings(text: str) -> DeploymentSettings:
     """Reads the settings document from its JSON text. Raises SettingsError."""
     try:
         document = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"no JSON: {error}") from error
     return decode_settings(document)
 
 
 def decode_settings(document: Document) -> DeploymentSettings:
     """Reads the decoded settings document. Raises SettingsError."""
-    try:
-        return _decode(document)
-    except KeyError as error:
-        raise SettingsError(f"{error.args[0]} is missing") from error
-    except (TypeError, ValueError, AttributeError) as error:
-        raise SettingsError(str(error)) from error
+    return _decode(check_object("settings", document))
 
 
 def load_source(word: str) -> LoadSource:
@@ -73,82 +87,83 @@
 
 
 def _decode(document: Document) -> DeploymentSettings:
-    extra = document.get("extra", {})
+    extra = read_object(document, "extra")
     _check_unread_settings(document, extra)
+    rows = read_objects(document, "request-classes")
+    same_zone_flags = read_booleans(extra, "class-own-zone")
     return DeploymentSettings(
         local_zone=str(document.get("locality", "")),
-        zones=tuple(document.get("zones", ())),
+        zones=read_texts(document, "zones"),
         list_on_request=document.get("discovery") == "subscribe",
-        health_checks=bool(document.get("allowed", {}).get("probes", False)),
+        health_checks=read_boolean(read_object(document, "allowed"), "probes"),
         lists_capacity=str(document.get("weights", "none")) in CAPACITY_WEIGHTS,
-        routes=tuple(_decode_route(row, k, extra) for k, row in enumerate(document["request-classes"])),
+        routes=tuple(_decode_route(row, any(same_zone_flags[k : k + 1])) for k, row in enumerate(rows)),
         channel=_decode_channel(extra),
-        rules=_decode_rules(document.get("contract", {}), extra),
+        rules=_decode_rules(read_object(document, "contract"), extra),
         fleet=_decode_fleet(document, extra),
     )
 
 
-def _decode_route(row: Document, index: int, extra: Document) -> Route:
-    same_zone_flags: Sequence[Any] = extra.get("class-own-zone") or ()
+def _decode_route(row: Document, same_zone_only: bool) -> Route:
     return Route(
-        name=str(row["name"]),
-        latency_objective_ticks=ticks_from_seconds(row["aim"]),
-        deadline_ticks=ticks_from_seconds(row["deadline"]),
-        priority_weight=float(row.get("points", 1.0)),
+        name=read_text(row, "name"),
+        latency_objective_ticks=read_positive_ticks(row, "aim"),
+        deadline_ticks=read_positive_ticks(row, "deadline"),
+        priority_weight=read_number(row, "points", 1.0),
         semantics=SEMANTICS.get(str(row.get("semantics")), RequestSemantics.AT_MOST_ONCE),
-        same_zone_only=index < len(same_zone_flags) and bool(same_zone_flags[index]),
-        allowed_zones=tuple(row.get("only-zones") or ()),
-        allowed_classes=tuple(row.get("only-kinds") or ()),
+        same_zone_only=same_zone_only,
+        allowed_zones=read_texts(row, "only-zones"),
+        allowed_classes=read_texts(row, "only-kinds"),
     )
 
 
 def _decode_channel(extra: Document) -> ChannelSettings:
+    typical_delay_ticks = read_ticks(extra, "late", 0)
+    window_ticks = read_ticks(extra, "messages-over", 0)
     return ChannelSettings(
-        entries_per_second=float(extra["egress-per-s"]),
-        message_overhead_entries=float(extra.get("per-message", 0)),
-        queue_limit_entries=float(extra["most-waiting"]),
-        typical_delay_ticks=ticks_from_seconds(extra.get("late") or 0),
-        max_delay_ticks=ticks_from_seconds(extra.get("late-most") or extra.get("late") or 0),
-        message_cap=int(extra.get("update-cap") or 0),
-        message_cap_window_ticks=ticks_from_seconds(extra.get("messages-over") or 10),
-        entry_price=float(extra.get("push-price") or 0),
+        entries_per_second=read_positive_number(extra, "egress-per-s"),
+        message_overhead_entries=read_number(extra, "per-message", 0),
+        queue_limit_entries=read_positive_number(extra, "most-waiting"),
+        typical_delay_ticks=typical_delay_ticks,
+        max_delay_ticks=read_ticks(extra, "late-most", 0) or typical_delay_ticks,
+        message_cap=read_integer(extra, "update-cap", 0),
+        message_cap_window_ticks=window_ticks or ticks_from_seconds(DEFAULT_CAP_WINDOW_S),
+        entry_price=read_number(extra, "push-price", 0),
     )
 
 
 def _decode_rules(contract: Document, extra: Document) -> RuleSettings:
     return RuleSettings(
-        empty_table_grace_ticks=ticks_from_seconds(extra["empty-for"]),
-        drain_grace_ticks=ticks_from_seconds(contract["drain-grace"]),
-        discovery_poll_ticks=ticks_from_seconds(contract.get("ask-every") or 0),
-        slow_start_fraction=float(contract.get("start-capacity") or 0),
-        slow_start_ticks=ticks_from_seconds(contract.get("cold") or 0),
-        recovery_overload_factor=float(contract.get("fall-multiple") or 1),
+        empty_table_grace_ticks=read_ticks(extra, "empty-for"),
+        drain_grace_ticks=read_ticks(contract, "drain-grace"),
+        discovery_poll_ticks=read_ticks(contract, "ask-every", 0),
+        slow_start_fraction=read_number(contract, "start-capacity", 0),
+        slow_start_ticks=read_ticks(contract, "cold", 0),
+        recovery_overload_factor=read_number(contract, "fall-multiple", 0) or DEFAULT_OVERLOAD_FACTOR,
     )
 
 
 def _decode_fleet(document: Document, extra: Document) -> FleetSettings:
     return FleetSettings(
-        proxy_count=int(extra.get("proxies") or 1),
-        avoidance_failures=int(extra.get("strikes") or 0),
-        bootstrap_table_size=int(extra.get("default-size") or 0),
+        proxy_count=read_integer(extra, "proxies", 0) or 1,
+        avoidance_failures=read_integer(extra, "strikes", 0),
+        bootstrap_table_size=read_integer(extra, "default-size", 0),
         admission_unit=admission_unit(str(extra.get("admit", "none"))),
-        default_retries=retry_mode(int(extra.get("retry-default") or 0)),
-        report_interval_ticks=ticks_from_seconds(extra.get("period") or 1),
-        cross_zone_price=float(document.get("deductions", {}).get("cross-zone") or 0),
-        load_source=load_source(str(document.get("load-info", {}).get("how", "none"))),
+        default_retries=retry_mode(read_integer(extra, "retry-default", 0)),
+        report_interval_ticks=read_ticks(extra, "period", 0) or TICKS_PER_SECOND,
+        cross_zone_price=read_number(read_object(document, "deductions"), "cross-zone", 0),
+        load_source=load_source(str(read_object(document, "load-info").get("how", "none"))),
     )
 
 
 def _check_unread_settings(document: Document, extra: Document) -> None:
     """Settings that nothing reads yet must be well formed all the same: a malformed document is refused."""
-    int(extra.get("partitions-n") or 0)
-    float(extra.get("try-factor") or 0)
-    float(extra.get("reports-per-s") or 0)
-    ticks_from_seconds(extra.get("settle") or 0)
-    ticks_from_seconds(document.get("contract", {}).get("fall") or 0)
-    tuple(document.get("load-info", {}).get("fields") or ())
-    int(document.get("rank", 0))
-    int(document.get("balancers", 1))
-    for row in document["request-classes"]:
-        float(row.get("late-worth", 0.0))
-        ticks_from_seconds(row.get("window") or 0)
+    for key in ("partitions-n", "try-factor", "reports-per-s", "settle"):
+        read_number(extra, key, 0)
+    read_number(read_object(document, "contract"), "fall", 0)
+    read_texts(read_object(document, "load-info"), "fields")
+    read_integer(document, "rank", 0)
+    read_integer(document, "balancers", 1)
+    for row in read_objects(document, "request-classes"):
+        read_number(row, "late-worth", 0)
+        read_number(row, "window", 0)
