Rollout: a new content is remembered also while all 16 remembered ones are in use

What callers could see: with 16 contents of a table in use or halted, a new one was forgotten as it was first offered, so rejections of it counted for nothing and a bad one went to all proxies instead of being halted at the second rejection.

Cause: add_content added it and then forgot what nobody ran, which was the new one.

Fix: room is made first; if all are needed there are more than 16, bounded by the number of proxies.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,7 +9,7 @@
 
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.versions.rollout import Rollout, RolloutMode, RolloutSettings
-from willowhook.versions.rollout_track import Content
+from willowhook.versions.rollout_track import MAX_CONTENTS, Content
 
 
 class RecordingListener:
@@ -45,6 +45,17 @@
     return given
 
 
+def test_new_content_is_halted_also_while_all_remembered_ones_are_in_use() -> None:
+    """Guards against a content that is forgotten as it is offered: nothing could halt it."""
+    listener = RecordingListener()
+    rollout = Rollout(RolloutSettings(), listener)
+    for proxy in range(MAX_CONTENTS):  # each runs a content of its own
+        offer_to_all(rollout, proxy, proxy, range(proxy, proxy + 1))
+    bad = MAX_CONTENTS
+    offer_to_all(rollout, 100, bad, range(100, 200), rejecting=set(range(100, 200)))
+    assert bad in rollout.tracks["t"].halted and listener.calls[0][:2] == ("halted", bad)
+
+
 def test_content_that_many_reject_is_halted_and_the_next_goes_to_canaries() -> None:
     listener = RecordingListener()
     rollout = Rollout(RolloutSettings(), listener)
--- a/willowhook/versions/rollout_track.py
+++ b/willowhook/versions/rollout_track.py
@@ -80,8 +80,8 @@
 
     def add_content(self, content: Content, order: int) -> ContentState:
         """Remembers a content that is offered for the first time."""
-        state = self.contents[content] = ContentState(order)
         self._forget_old()
+        state = self.contents[content] = ContentState(order)
         return state
 
     def halt(self, content: Content, cause: str) -> None:
@@ -111,9 +111,12 @@
             state.awaiting.discard(proxy)
 
     def _forget_old(self) -> None:
-        """Forgets old contents; never the good one, a halted one, or one that somebody was offered last."""
+        """Makes room for a content: forgets old ones, but not the good one, a halted one or one in use.
+
+        If all are needed there will be more than the limit: one for each proxy at the most, and those halted.
+        """
         for content, state in list(self.contents.items()):
-            if len(self.contents) <= MAX_CONTENTS:
+            if len(self.contents) < MAX_CONTENTS:
                 return
             if content != self.good and not state.current_count and content not in self.halted:
                 del self.contents[content]
