Decisions: exclusions past their gathering time no longer leave one by one

Cause: past three eighths of the grace an exclusion left as soon as it alone fitted in the queue; and whether all fit was judged by their cost at all proxies, though those with subset tables hold few of the endpoints, so it never did.

Fix: the cost counts the proxies that may use each endpoint; past the gathering time exclusions wait until as many fit as a message costs entries, or all that are left.

--- a/tests/decisions/test_exclusions.py
+++ b/tests/decisions/test_exclusions.py
@@ -44,3 +44,25 @@
     assert len(harness.controller.pending_binds) and harness.runtime.excluded["h0"]
     harness.advance(12 * SECOND)
     assert not harness.controller.pending_binds and not harness.runtime.excluded["h0"]
+
+
+def test_exclusions_do_not_leave_one_by_one_while_the_queue_drains() -> None:
+    """Guards against messages whose overhead is most of what the channel carries."""
+    settings = settings_with(
+        fleet__proxy_count=40, channel__entries_per_second=800, channel__queue_limit_entries=3200
+    )
+    harness = start_fleet(settings, endpoints=60, proxies=40)
+    harness.advance(4 * SECOND)
+    harness.runtime.queued_entries = harness.controller.channel.queued = 3000.0
+    draining = {f"h{k}": (DRAINING, 0) for k in range(30)}
+    harness.receive_endpoint_list(draining, is_complete=False)
+    batches = []
+    while sum(harness.runtime.excluded.get(name, False) for name in draining) < len(draining):
+        before = harness.runtime.exclusion_count
+        harness.advance(SECOND // 20)
+        harness.flush()
+        batches.append(harness.runtime.exclusion_count - before)
+        assert len(batches) < 200
+    overhead = harness.controller.channel.overhead_entries
+    sizes = [size for size in batches if size]
+    assert all(size >= overhead for size in sizes[:-1]), sizes
--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -128,12 +128,29 @@
 
     def _should_gather(self, now: int, due: list[Endpoint]) -> bool:
         """Whether exclusions wait a little for more: a message costs more than its entry."""
-        ages = [now - self._changed[endpoint.name] for endpoint in due if not endpoint.is_excluded]
-        grace_ticks = self._fleet.settings.rules.drain_grace_ticks
-        gatherings = max(ages, default=0) * EXCLUSION_GATHER_DIVISOR // grace_ticks
-        cost = self._channel.cost([*self._fleet.proxies], len(ages) * UPDATE_ENTRIES)
-        fits = self._fits(cost)
-        return gatherings < MAX_GATHERINGS and not (fits and gatherings >= 1)
+        waiting = [endpoint for endpoint in due if not endpoint.is_excluded]
+        age_ticks = max((now - self._changed[endpoint.name] for endpoint in waiting), default=0)
+        gatherings = age_ticks * EXCLUSION_GATHER_DIVISOR // self._fleet.settings.rules.drain_grace_ticks
+        if gatherings < 1:
+            return True
+        if self._fits(self._cost_at_most(waiting)):
+            return False
+        # not one by one as the queue drains: a message should carry as much as it costs
+        worth_a_message = waiting[: self._channel.overhead_entries]
+        return gatherings < MAX_GATHERINGS or not self._fits(self._cost_at_most(worth_a_message))
+
+    def _cost_at_most(self, endpoints: list[Endpoint]) -> int:
+        """What it costs at the most to exclude all of these at the proxies that may use them."""
+        waiting = [*self._pending_binds]
+        entries = len(waiting) * len(endpoints)
+        reached = set(waiting)
+        for table in self._fleet.tables:
+            held = sum(endpoint.name in table.entries for endpoint in endpoints)
+            if held:
+                users = self._fleet.users(table)
+                entries += held * len(users)
+                reached.update(users)
+        return entries * UPDATE_ENTRIES + self._channel.cost([*reached], 0)
 
     def _must_wait(self, now: int, endpoint: Endpoint, is_queue_long: bool) -> bool:
         """Whether a readmission has to wait."""
