--- a/willowhook/decisions/binding.py
+++ b/willowhook/decisions/binding.py
@@ -13,6 +13,7 @@
 from .readmissions import SessionReadmissions
 from .subsets import SubsetAssigner, SubsetMode
 from .table_updates import TableUpdater
+from .timing import urgent_after_ticks
 from .update_cost import bind_cost
 from .weight_solver import STEP_INTERVAL_TICKS
 
@@ -38,6 +39,8 @@
         self._subsets = subsets
         self._updater = updater
         self._holds_back_until = context.started_at + STEP_INTERVAL_TICKS
+        grace_ticks = context.settings.rules.empty_table_grace_ticks
+        self._urgent_after_ticks = urgent_after_ticks(grace_ticks, context.settings.channel)
 
     def stop_holding_back(self) -> None:
         """Weights are known, or binds are needed to keep the drain rule: no proxy is held back any more."""
@@ -55,6 +58,16 @@
             return []
         return self._pending_binds.in_order(with_earlier_table=False)
 
+    def urgent(self, now: int) -> list[int]:
+        """Of those due, the ones that were sent nothing yet and may soon lack an endpoint for too long."""
+        message_cap = self._channel.message_cap
+        return [
+            proxy
+            for proxy in self.due(now)
+            if self._pending_binds.waited_ticks(now, proxy) >= self._urgent_after_ticks
+            and message_cap.is_unsent(now, proxy)
+        ]
+
     def bind_burst(self, now: int, due: list[int]) -> None:
         """Binds proxies that never were to subsets, if too many of them wait for whole tables.
 
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -60,7 +60,7 @@
 from .status import ControllerStatus
 from .subsets import SubsetAssigner
 from .table_updates import TableUpdater
-from .timing import EVALUATION_INTERVAL_TICKS, urgent_after_ticks
+from .timing import EVALUATION_INTERVAL_TICKS
 from .weight_solver import WeightSolver
 from .weights import EndpointWeights
 
@@ -197,20 +197,13 @@
 
     def _send_urgent_updates(self, now: int) -> None:
         """Gives what keeps the rules, as far as the message cap allows."""
-        urgent_binds = [proxy for proxy in self._binder.due(now) if self._is_bind_urgent(now, proxy)]
+        urgent_binds = self._binder.urgent(now)
         self._binder.bind_burst(now, urgent_binds)
         self.exclusions.send_urgent(now)
         self._send_reminders_and_fill_tables(now)
         waiting = [proxy for proxy in urgent_binds if proxy in self.pending_binds]
         self._binder.bind_in_order(now, waiting, self._limits.for_binds())
 
-    def _is_bind_urgent(self, now: int, proxy: int) -> bool:
-        """Whether a proxy that was sent nothing yet may soon lack an endpoint for too long."""
-        grace_ticks = self._settings.rules.empty_table_grace_ticks
-        urgent_after = urgent_after_ticks(grace_ticks, self._settings.channel)
-        has_waited = self.pending_binds.waited_ticks(now, proxy) >= urgent_after
-        return has_waited and self.channel.message_cap.is_unsent(now, proxy)
-
     def _send_updates(self, now: int) -> None:
         """Gives all that is due, in the order of `flush`."""
         queue_before = self.channel.queue_estimate()
