Intake: a report that was written and not read yet counts as a sign of life

What callers saw: with 1,000 proxies (`trial flood`, its defaults) proxies on files lost their session and tables again and again; 368 of 500 had no tables at the end.

Cause: a session was closed when nothing of its proxy was read for the timeout. A controller that is behind with reading takes that for silence, and closing and joining anew keeps it behind.

Evidence: 2,693 "proxy left ... silent" in a run, 2,166 of proxies on files. A probe (trial) at the closing: all of 2,397 report files were less than 4 s old, 1,987 less than 2 s, with a timeout of 6 s.

Fix: before closing, a report file that differs from the one read last counts as activity, once a file; so also for reports that are put off or in quarantine. test_proxy_whose_reports_are_not_read_yet_is_not_silent failed with "'p1' in {}".

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 import pytest
@@ -21,6 +22,7 @@
 
 from willowhook.cli.main import main
 from willowhook.config.example import EXAMPLE
+from willowhook.controlplane.proxy_folder_feed import ProxyFolderFeed
 from willowhook.controlplane.service import Service
 from willowhook.decisions.events import EndpointListReceived, ProxyJoined
 from willowhook.files.layout import FolderTaken
@@ -69,6 +71,28 @@
     assert [row[2]["reason"][:6] for row in log.rows if row[1] == "proxy left"] == ["silent"]
 
 
+def test_proxy_whose_reports_are_not_read_yet_is_not_silent(tmp_path: Path) -> None:
+    """Guards against a controller that is behind with reading and gives up proxies for it."""
+
+    async def play(service: Service, discovery: FakeDiscovery, log: RecordingLog) -> None:
+        one = FileProxy(service, "p1")
+        one.join()
+        await wait_until(lambda: "p1" in service.intake.sessions)
+        term = service.intake.sessions["p1"].term
+        for _ in range(20):  # nearly four times the timeout
+            one.load()
+            await trio.sleep(0.2)
+            assert "p1" in service.intake.sessions and service.intake.sessions["p1"].term == term
+        assert "proxy left" not in log.texts()
+        await wait_until(lambda: "proxy left" in log.texts())
+
+    async def read_nothing(_self: ProxyFolderFeed, _name: str) -> None:
+        """The reader is behind for good."""
+
+    with patch.object(ProxyFolderFeed, "_read_report", read_nothing):
+        serve(tmp_path, play, proxy_lost_after_ms=1200)
+
+
 OF_BAD = forms.Node("bad", metadata={"term": 1})
 
 
--- a/willowhook/controlplane/intake.py
+++ b/willowhook/controlplane/intake.py
@@ -182,9 +182,20 @@
         proxy.heard_at = now
         self._timeouts.set(proxy.name, now + self._session_timeout_ticks + 1)
 
-    def close_silent_sessions(self, now: int) -> None:
-        """Closes the sessions of proxies that were inactive for too long."""
+    def close_silent_sessions(
+        self, now: int, has_unread_input: Callable[[str], bool] = lambda _name: False
+    ) -> None:
+        """Closes the sessions of proxies that were inactive for too long.
+
+        Args:
+            now: the current tick.
+            has_unread_input: whether a proxy has sent something that was not read yet. It is active then:
+                the controller is behind, not the proxy.
+        """
         for name in self._timeouts.overdue(now):
+            if has_unread_input(name):
+                self._touch(now, self.sessions[name])
+                continue
             silent_ticks = now - self.sessions[name].heard_at
             self.close_session(name, f"silent for {silent_ticks / TICKS_PER_SECOND:.1f} s")
 
--- a/willowhook/controlplane/proxy_folder_feed.py
+++ b/willowhook/controlplane/proxy_folder_feed.py
@@ -59,6 +59,7 @@
         self._folders: dict[str, FolderIdentity] = {}  # of the proxies that have a folder
         self._files_read: dict[tuple[str, str], FileIdentity] = {}  # by proxy and file
         self._deferred_reports: dict[str, int] = {}  # by proxy: the tick to read its report at
+        self._reports_seen: dict[str, FileIdentity] = {}  # by proxy: written, and counted as activity unread
 
     # Tasks.
 
@@ -140,9 +141,25 @@
         else:  # read again when it writes the next file
             self.forget(found.name)
 
+    def close_silent_sessions(self, now: int) -> None:
+        """Closes the sessions of proxies that were inactive for too long; for the decision task."""
+        self._intake.close_silent_sessions(now, self._has_unread_report)
+
+    def _has_unread_report(self, name: str) -> bool:
+        """Whether a proxy has written a report that is not read yet; each report counts once."""
+        try:
+            identity = _file_identity(f"{self._up}/{name}/{LOAD}")
+        except OSError:
+            return False
+        if identity in (self._files_read.get((name, LOAD)), self._reports_seen.get(name)):
+            return False
+        self._reports_seen[name] = identity
+        return True
+
     def forget(self, name: str) -> None:
         """Makes the next file or folder of a proxy count as new."""
         self._folders.pop(name, None)
+        self._reports_seen.pop(name, None)
         for file in PROXY_FILES:
             self._files_read.pop((name, file), None)
 
--- a/willowhook/controlplane/service.py
+++ b/willowhook/controlplane/service.py
@@ -265,7 +265,7 @@
         drain = ControllerDrain(context, self.proxy_states, self.channel)
         monitor = QueueMonitor(context, self.controller, self.publisher)
         maintenance = [
-            self.intake.close_silent_sessions,
+            self.folder_feed.close_silent_sessions,
             drain.step,
             self.handoff.resend_unanswered,
             monitor.check,
