Tests: each server of a platform test has a port that nobody else is given

Not a fault of the program.

Cause: free_port closed the socket that it had drawn a port with, so the kernel could give the same port again before the server listened at it. Four soaks of one test draw sixteen ports at once, and one of them listens 10.5 s later. Then one server has the port, the controller ends with code 2, and its peers talk to the other server, here a discovery that waits for HTTP.

Fix: the socket stays bound, with SO_REUSEADDR and without listening, until the test process ends: the kernel draws the port no more, and a server that reuses addresses can listen, restart and listen again. A soak whose controller does not start now names it, its exit code and its log. test_address_in_use sets SO_REUSEADDR on the socket that listens first, since the port is reserved; what it asserts is unchanged.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -25,10 +25,16 @@
 ATTACH = {"t": "attach", "proxy": 0, "zone": "north", "weight": 5.0, "fresh": True}
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+_reservations: list[socket.socket] = []  # bound, not listening, until this process ends
+
+
+def reserve_port() -> int:
+    """A port that the kernel gives to nobody else, while servers that reuse addresses can listen at it."""
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(("127.0.0.1", 0))
+    _reservations.append(reservation)
+    return int(reservation.getsockname()[1])
 
 
 class FakeDiscovery:
@@ -101,8 +107,8 @@
         self.settings = settings
         self.arguments = ["-m", "willowhook.platform"]
         self.log_path = folder / "log"
-        self.port = free_port()
-        self.discovery_port = free_port()
+        self.port = reserve_port()
+        self.discovery_port = reserve_port()
         self.limits = {"sockets": 256, **limits}
         self.discovery = FakeDiscovery()
         self.write_configuration(self.discovery_port)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 
 import trio
-from platform_process import SETTINGS, ControllerProcess, free_port
+from platform_process import SETTINGS, ControllerProcess, reserve_port
 from soak_discovery import AnswerMode, SoakDiscovery
 from soak_peers import BadClient, SoakProxy, run_bad_client, run_collector
 
@@ -144,10 +144,18 @@
         started_at = trio.current_time()
         with self.logs[-1].open("wb") as log:
             self.running = subprocess.Popen(**self.process.command(), stderr=log)
-        await self.process.wait_until_ready()
+        try:
+            await self.process.wait_until_ready()
+        except (trio.TooSlowError, AssertionError) as error:
+            raise AssertionError(self._describe_failed_start()) from error
         self.first_answer_at = trio.current_time()
         self.ready_times_s.append(self.first_answer_at - started_at)
 
+    def _describe_failed_start(self) -> str:
+        assert self.running is not None
+        log = self.logs[-1].read_text()
+        return f"{self.name} at port {self.port} did not answer; exit code {self.running.poll()}, log:\n{log}"
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends its process a signal."""
         assert self.running is not None
@@ -290,7 +298,7 @@
         """SIGHUP, twice or more, at a configuration that moves discovery and may be half written at first."""
         controller = self.random.choice(self.controllers)
         process = controller.process
-        port = free_port()
+        port = reserve_port()
         await self._nursery.start(self.discovery.serve, controller.name, port)
         process.write_configuration(port)
         whole = process.configuration_path.read_text()
--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -16,7 +16,7 @@
     ControllerProcess,
     FakeDiscovery,
     excluded_in,
-    free_port,
+    reserve_port,
     weights_in,
 )
 from process_signals import HELD_BACK, has_signal
@@ -60,7 +60,7 @@
             await proxy.receive_until_closed()
         new_discovery.version = controller.discovery.version
         new_discovery.entries = dict(controller.discovery.entries)
-        new_port = free_port()
+        new_port = reserve_port()
         async with trio.open_nursery() as nursery:
             await nursery.start(new_discovery.serve, new_port)
             controller.configuration_path.write_text("{")
@@ -92,7 +92,7 @@
 
     async def scenario(process: subprocess.Popen[bytes]) -> None:
         async with trio.open_nursery() as nursery:
-            new_port = free_port()
+            new_port = reserve_port()
             await nursery.start(new_discovery.serve, new_port)
             controller.write_configuration(new_port)
             text = controller.configuration_path.read_text()
@@ -123,7 +123,7 @@
     }
 
     async def scenario(process: subprocess.Popen[bytes]) -> None:
-        controller.write_configuration(free_port())
+        controller.write_configuration(reserve_port())
         process.send_signal(signal.SIGHUP)
         with trio.fail_after(5):
             while "configuration reload failed" not in controller.read_log():
@@ -276,6 +276,7 @@
 def test_address_in_use_ends_the_process_with_code_2(tmp_path: Path) -> None:
     controller = ControllerProcess(tmp_path)
     with socket.socket() as other:
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # the port is reserved
         other.bind(("127.0.0.1", controller.port))
         other.listen()
         ended = subprocess.run(**controller.command(), stderr=subprocess.PIPE, text=True, timeout=20)
