Decisions: tables of a join burst are sized by the time that whole tables have left

Cause: the first proxies of a burst get whole tables until these take half of the grace. The subset tables of the others were then sized for another half, as the queue counted for the question whether there is a burst and not for the size. Nothing was left for the exclusions that came 0.3 s later.

Fix: the size is drawn from what is left of the half, and a subset of a burst has at least three endpoints. The trigger and the subsets of limited connections are as before.

--- a/tests/decisions/test_subsets.py
+++ b/tests/decisions/test_subsets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from builders import DRAINING, SECOND, settings_with, start_fleet
 
 from willowhook.decisions.subsets import SubsetMode
@@ -68,6 +69,31 @@
     )
 
 
+@pytest.mark.parametrize("joins_at_once", [5, 60])
+def test_subset_tables_are_sized_by_the_time_that_whole_tables_have_left(joins_at_once: int) -> None:
+    """Guards against binds of a join burst that take the time of the exclusions that come next."""
+    rate, grace_seconds, proxies = 3000, 4, 240
+    settings = settings_with(
+        exclusions_outlive_sessions=True,
+        fleet__proxy_count=proxies,
+        channel__entries_per_second=float(rate),
+        channel__queue_limit_entries=float(rate * grace_seconds),
+        rules__drain_grace_ticks=grace_seconds * SECOND,
+    )
+    harness = start_fleet(settings, endpoints=80, proxies=20)
+    harness.advance(30 * SECOND)
+    harness.receive_endpoint_list({f"h{k}": (DRAINING, 0) for k in range(10)}, is_complete=False)
+    harness.flush()
+    for first in range(20, proxies, joins_at_once):
+        for proxy in range(first, min(first + joins_at_once, proxies)):
+            harness.join_proxy(proxy, is_fresh=False)
+        harness.flush()
+        harness.advance(SECOND // 100)
+    assert harness.controller.subsets.mode is SubsetMode.JOIN_BURST
+    assert not harness.controller.pending_binds
+    assert harness.runtime.queued_entries < rate * grace_seconds / 2
+
+
 def test_idle_endpoints_that_refuse_connections_are_split_into_subsets_for_a_time() -> None:
     harness = start_fleet(endpoints=40, proxies=40)
     for second in range(60):
--- a/willowhook/decisions/subsets.py
+++ b/willowhook/decisions/subsets.py
@@ -17,6 +17,7 @@
 from .weights import EndpointWeights
 
 MIN_ENDPOINTS = 2  # endpoints in a subset table
+MIN_BURST_ENDPOINTS = 3  # two are often next to each other, and drain together
 FIRST_CONNECTION_LIMIT_TICKS = 30 * TICKS_PER_SECOND
 REFUSED_SUCCESS_FRACTION = 0.4  # below it, idle endpoints that answer in time refuse connections
 TABLE_OVERHEAD_ENTRIES = BIND_ENTRIES + 1  # estimated cost of a bind without its entries; one in reserve
@@ -105,9 +106,10 @@
     def _burst_table_size(self, waiting: int) -> int:
         """So large that all who may still come are bound in time, and as a default table at least."""
         expected = waiting + self._fleet.absent_proxies
-        entries = self._entries_in_time() / expected - self._channel.overhead_entries
+        entries_left = self._entries_in_time() - self._channel.queue_estimate()
+        entries = entries_left / expected - self._channel.overhead_entries
         affordable = int(entries / len(self._tables_of_one_proxy)) - TABLE_OVERHEAD_ENTRIES
-        return max(MIN_ENDPOINTS, self._fleet.settings.fleet.bootstrap_table_size, affordable)
+        return max(MIN_BURST_ENDPOINTS, self._fleet.settings.fleet.bootstrap_table_size, affordable)
 
     def _entries_in_time(self) -> float:
         """Entries that the channel carries within the part of the grace that binds may take."""
