Control plane: a proxy whose call waits for an answer is not silent

Cause: a call counted as activity when it came and when its wait was over. A wait lasts up to front.wait_ms (10 s), longer than the session timeout (6 s there, 2 s by default). Only reports that were read kept such a proxy alive: one whose reports are malformed, too large, in quarantine or not read for lack of time was given up.

Fix: SessionTimeouts asks both sides, the folders for reports that are not read and the discovery server for calls that are not answered; in either case the next step is the controller's. A proxy that vanishes with calls open is given up once these waits are over.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -300,6 +300,8 @@
 
 # A real director.
 
+LOST_AFTER_S = 0.8  # in the test of silent proxies
+
 
 class ByCalls:
     """A proxy's side of the protocol, by hand."""
@@ -383,7 +385,9 @@
 Play = Callable[[Service, FakeDiscovery, RecordingLog], Awaitable[None]]
 
 
-def directed(tmp_path: Path, play: Play, decider: Any = Controller, **parts: Any) -> RecordingLog:
+def directed(
+    tmp_path: Path, play: Play, decider: Any = Controller, proxy_lost_after_ms: float = 20_000, **parts: Any
+) -> RecordingLog:
     """Runs a director with a front while `play` goes on."""
     log = RecordingLog()
 
@@ -407,7 +411,9 @@
             terms = replace(
                 EXAMPLE,
                 fleet=replace(EXAMPLE.fleet, standing=0),  # proxies played by hand start with nothing
-                files=replace(EXAMPLE.files, folder=str(tmp_path / "d"), proxy_lost_after_ms=20_000),
+                files=replace(
+                    EXAMPLE.files, folder=str(tmp_path / "d"), proxy_lost_after_ms=proxy_lost_after_ms
+                ),
                 roster=replace(EXAMPLE.roster, url=url, wait_ms=300, timeout_ms=200),
                 records=replace(EXAMPLE.records, file=str(tmp_path / "records")),
                 front=replace(front, **parts),
@@ -611,6 +617,34 @@
     directed(tmp_path, play)
 
 
+def test_proxy_whose_call_waits_is_not_silent_and_one_without_calls_is(tmp_path: Path) -> None:
+    """Guards against proxies that lose their tables while their calls wait and no report of theirs counts."""
+
+    async def play(service: Service, _discovery: FakeDiscovery, log: RecordingLog) -> None:
+        proxy = ByCalls(service, "p1")
+
+        async def follow(kind: str) -> None:
+            version = nonce = ""
+            while True:
+                reply = await proxy.whole(kind, version, nonce)
+                assert reply.status == 200
+                response = decode(reply.body, forms.DiscoveryResponse)
+                version, nonce = response.version_info, response.nonce
+
+        async with trio.open_nursery() as nursery:
+            for kind in forms.FILES:
+                nursery.start_soon(follow, kind)
+            await wait_until(lambda: "p1" in service.intake.sessions)
+            await trio.sleep(4 * LOST_AFTER_S)
+            assert "proxy left" not in log.texts() and "p1" in service.intake.sessions
+            nursery.cancel_scope.cancel()
+        await proxy.close()
+        await wait_until(lambda: "proxy left" in log.texts())
+        assert [parts["reason"][:6] for _, text, parts in log.rows if text == "proxy left"] == ["silent"]
+
+    directed(tmp_path, play, proxy_lost_after_ms=LOST_AFTER_S * 1000, wait_ms=10_000)
+
+
 def test_a_proxy_that_asks_too_often_is_given_up_at_once_and_told_when_to_come_back(tmp_path: Path) -> None:
     async def play(service: Service, discovery: FakeDiscovery, log: RecordingLog) -> None:
         one, two = ByCalls(service, "p1"), ByCalls(service, "p2")
--- a/willowhook/controlplane/discovery_feed.py
+++ b/willowhook/controlplane/discovery_feed.py
@@ -164,6 +164,11 @@
         if session is not None:
             self.front.forget(session)
 
+    def has_unanswered_call(self, name: str) -> bool:
+        """Whether a call of a proxy waits on an open connection; `wait_ms` at the most."""
+        session = self._discovery_sessions.get(name)
+        return session is not None and self.front.has_waiting_call(session)
+
     # The interface that the discovery server calls, `Hall`.
 
     def here(self, name: str) -> tuple[int, bool] | None:
--- a/willowhook/controlplane/proxy_folder_feed.py
+++ b/willowhook/controlplane/proxy_folder_feed.py
@@ -141,11 +141,7 @@
         else:  # read again when it writes the next file
             self.forget(found.name)
 
-    def close_silent_sessions(self, now: int) -> None:
-        """Closes the sessions of proxies that were inactive for too long; for the decision task."""
-        self._intake.close_silent_sessions(now, self._has_unread_report)
-
-    def _has_unread_report(self, name: str) -> bool:
+    def has_unread_report(self, name: str) -> bool:
         """Whether a proxy has written a report that is not read yet; each report counts once."""
         try:
             identity = _file_identity(f"{self._up}/{name}/{LOAD}")
--- a/willowhook/controlplane/service.py
+++ b/willowhook/controlplane/service.py
@@ -49,6 +49,7 @@
 from .report_processor import ReportProcessor
 from .resource_renderer import ResourceRenderer
 from .session_manager import SessionManager
+from .session_timeouts import SessionTimeouts
 from .update_sink_factory import UpdateSinkFactory
 
 RECORDS_FLUSH_SECONDS = 0.1
@@ -263,9 +264,10 @@
         """Makes the loop, and the maintenance that it calls ten times a second."""
         context = self.context
         drain = ControllerDrain(context, self.proxy_states, self.channel)
+        timeouts = SessionTimeouts(self.intake, self.folder_feed, self.discovery)
         monitor = QueueMonitor(context, self.controller, self.publisher)
         maintenance = [
-            self.folder_feed.close_silent_sessions,
+            timeouts.close_silent_sessions,
             drain.step,
             self.handoff.resend_unanswered,
             monitor.check,
--- a/willowhook/front/discovery.py
+++ b/willowhook/front/discovery.py
@@ -318,6 +318,10 @@
         if len(self._turns):
             self._kick.set()
 
+    def has_waiting_call(self, desk: DiscoverySession) -> bool:
+        """Whether a call for any kind of resources waits for news."""
+        return any((desk, kind) in self._waiting for kind in KINDS)
+
     def forget(self, desk: DiscoverySession) -> None:
         """The proxy left; its calls are told."""
         self.news(desk)
