Decisions: ejections and connection limits start short again after a quiet time

Cause: both times double with each use, and nothing shortens them but a listed restart (ejections) or a restart of the controller (limits). The same fault in both, so one commit.

Fix: more than a minute after the end of the last ejection the next is a first one again; a connection limit that begins later after the end of the last than it would last itself is a first one again. Trouble that goes on still doubles. That the end of an ejection hastens nothing stays, as design.md says so.

Measured: both new tests failed before (['5', '10'] == ['5', '5'], 137 s apart; 30 == 60, 170 s apart).

--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -25,3 +25,15 @@
             harness.report_endpoint(f"h{k}", 10, 8, 100)
         harness.advance(SECOND)
     assert len(harness.usable_weights()) == 8
+
+
+def test_endpoint_that_did_well_for_long_is_ejected_as_for_the_first_time() -> None:
+    """Guards against ejections that get longer over the life of the controller."""
+    harness = start_fleet()
+    for second in range(150):
+        for k in range(8):
+            fails = k == 0 and (second < 4 or 140 < second < 144)
+            harness.report_endpoint(f"h{k}", 10, 10 if fails else 0, 100)
+        harness.advance(SECOND)
+    ejections = [line for line in harness.runtime.log_lines if line.startswith("endpoint ejected")]
+    assert [line.rpartition("seconds=")[2] for line in ejections] == ["5", "5"]
--- a/tests/decisions/test_subsets.py
+++ b/tests/decisions/test_subsets.py
@@ -5,7 +5,7 @@
 import pytest
 from builders import DRAINING, SECOND, settings_with, start_fleet
 
-from willowhook.decisions.subsets import SubsetMode
+from willowhook.decisions.subsets import FIRST_CONNECTION_LIMIT_TICKS, SubsetMode
 
 
 def test_join_burst_is_bound_to_subsets_first_and_to_default_tables_later() -> None:
@@ -109,3 +109,21 @@
         }
         assert max(sizes) <= 3 if 20 < second < 40 else second < 20 or second < 50 or max(sizes) == 40
     assert all(bound[2] != bound[0] for bound in harness.runtime.bindings.values())
+
+
+def test_connection_limit_long_after_another_is_as_short_as_the_first() -> None:
+    """Guards against limits that get longer over the life of the controller."""
+    harness = start_fleet(endpoints=40, proxies=40)
+    limited = []
+    for second in range(300):
+        refuses = 9 < second < 13 or 209 < second < 213
+        for k in range(40):
+            harness.report_endpoint(f"h{k}", 20, 18 if refuses else 0, 100, cpu_utilization=0.3)
+        for proxy in range(40):
+            harness.report_requests(proxy, "read", 10)
+        harness.advance(SECOND)
+        if harness.controller.subsets.mode is SubsetMode.CONNECTION_LIMIT:
+            limited.append(second)
+    first = [second for second in limited if second < 200]
+    second_time = [second for second in limited if second >= 200]
+    assert len(first) == len(second_time) == FIRST_CONNECTION_LIMIT_TICKS // SECOND
--- a/willowhook/decisions/outliers.py
+++ b/willowhook/decisions/outliers.py
@@ -1,7 +1,7 @@
 """Outlier detection: ejects endpoints that fail nearly all attempts while others do not.
 
 An endpoint that answers some attempts stays: in one-sided trouble and under overload the others could not
-carry its requests too. Ejections get longer each time.
+carry its requests too. Ejections get longer each time, until the endpoint has done well for a while.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 EXCESS_FAILURES = 0.75  # failure fraction above the usual one at which an endpoint is ejected
 FIRST_EJECTION_TICKS = 5 * TICKS_PER_SECOND
 MAX_EJECTION_TICKS = 4 * FIRST_EJECTION_TICKS
+FORGET_EJECTIONS_TICKS = 3 * MAX_EJECTION_TICKS  # after an ejection's end: the next one is a first one again
 
 
 class OutlierDetector:
@@ -54,6 +55,8 @@
         return fractions[len(fractions) // 4] if fractions else 0.0
 
     def _eject(self, now: int, endpoint: Endpoint, sums: AttemptSums, usual: float) -> None:
+        if now - endpoint.ejected_until > FORGET_EJECTIONS_TICKS:
+            endpoint.ejection_ticks = 0
         doubled = min(2 * endpoint.ejection_ticks, MAX_EJECTION_TICKS)
         endpoint.ejection_ticks = doubled or FIRST_EJECTION_TICKS
         endpoint.is_ejected = True
--- a/willowhook/decisions/subsets.py
+++ b/willowhook/decisions/subsets.py
@@ -47,6 +47,7 @@
         self._endpoints_each = MIN_ENDPOINTS
         self._last_table = len(context.fleet.default_tables)
         self._limited_until: int | None = None
+        self._limit_ended_at = 0
         self._next_limit_ticks = FIRST_CONNECTION_LIMIT_TICKS
         # those of one zone: every proxy uses as many
         tables = context.fleet.default_tables
@@ -133,6 +134,8 @@
             f"connection limit began success_fraction={sample.median_success_fraction:.2f} "
             f"utilization={sample.utilization:.2f}"
         )
+        if now - self._limit_ended_at > self._next_limit_ticks:  # the trouble before this one was over
+            self._next_limit_ticks = FIRST_CONNECTION_LIMIT_TICKS
         self._limited_until = now + self._next_limit_ticks
         self._next_limit_ticks *= 2
         self._make_tables(now, MIN_ENDPOINTS)
@@ -149,6 +152,7 @@
         if self._limited_until is None or now < self._limited_until:
             return False
         self._limited_until = None
+        self._limit_ended_at = now
         self._assigned = {}
         self._runtime.log(f"connection limit ended proxies={len(self._fleet.proxies)}")
         return True
