Decisions: exclusions that wait for long are logged with what is ahead of them, shedding with its routes

Change: `exclusions late` once an exclusion has waited for half of the grace, with the age, the queue, what no acknowledgement proves to have left, and the proxies that wait to be bound; once until none is late, so it is bounded. `load shedding began` and `ended` also say projected_utilization and limited_routes.

Measured: test_exclusions_that_wait_for_long_are_logged_once_with_what_is_ahead_of_them (two episodes, two lines; none for an exclusion that leaves at once) and the extended test of shedding pass; both fail without the change, as there is no such text.

--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -28,6 +28,7 @@
     assert limits[0, 0] < 0.9 and limits[0, 0] < limits[0, 1] <= 1
     began = [text for text in harness.runtime.log_lines if text.startswith("load shedding began ")]
     assert any(" before=1.40 " in text for text in began)
+    assert began[0].rpartition("limited_routes=")[2] == "read" and " projected_utilization=" in began[0]
 
 
 def test_admission_limits_stay_while_no_reports_come() -> None:
--- a/tests/decisions/test_exclusions.py
+++ b/tests/decisions/test_exclusions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from builders import DRAINING, IN_SERVICE, REMOVED, SECOND, settings_with, start_fleet
+from builders import DRAINING, IN_SERVICE, REMOVED, SECOND, WARM, settings_with, start_fleet
 
 
 def test_draining_endpoint_is_excluded_at_once() -> None:
@@ -66,3 +66,27 @@
     overhead = harness.controller.channel.overhead_entries
     sizes = [size for size in batches if size]
     assert all(size >= overhead for size in sizes[:-1]), sizes
+
+
+def test_exclusions_that_wait_for_long_are_logged_once_with_what_is_ahead_of_them() -> None:
+    """Guards against a drain that is told late without a line that says why."""
+    settings = settings_with(
+        fleet__proxy_count=40, channel__entries_per_second=800, channel__queue_limit_entries=3200
+    )
+    harness = start_fleet(settings, endpoints=60, proxies=40)
+    harness.advance(4 * SECOND)
+    harness.receive_endpoint_list({"h0": (DRAINING, 0)}, is_complete=False)
+    harness.flush()
+    harness.advance(4 * SECOND)
+    assert not [line for line in harness.runtime.log_lines if line.startswith("exclusions late")]
+    for _ in range(2):  # once in each of two episodes
+        harness.runtime.queued_entries = harness.controller.channel.queued = 3000.0
+        draining = {f"h{k}": (DRAINING, 0) for k in range(1, 31)}
+        harness.receive_endpoint_list(draining, is_complete=False)
+        harness.flush()
+        harness.advance(8 * SECOND)
+        harness.receive_endpoint_list({name: WARM for name in draining}, is_complete=False)
+        harness.flush()
+        harness.advance(8 * SECOND)
+    late = [line for line in harness.runtime.log_lines if line.startswith("exclusions late")]
+    assert len(late) == 2 and " waiting_proxies=0" in late[0] and " endpoints=30 " in late[0]
--- a/willowhook/decisions/admission.py
+++ b/willowhook/decisions/admission.py
@@ -171,9 +171,19 @@
         self._runtime.log(
             f"{what} admitted_fraction={self.admitted_fraction:.2f} before={before:.2f} "
             f"latency_fraction={sample.latency_fraction:.2f} success_fraction={success:.2f} "
-            f"utilization={sample.utilization:.2f}"
+            f"utilization={sample.utilization:.2f} "
+            f"projected_utilization={sample.projected_utilization:.2f} "
+            f"limited_routes={','.join(self._limited_routes()) or 'none'}"
         )
 
+    def _limited_routes(self) -> list[str]:
+        """The names of the routes of which a part is shed."""
+        fractions = self.route_fractions()
+        routes = self._fleet.settings.routes
+        return [
+            route.name for route, fraction in zip(routes, fractions, strict=True) if fraction < WHOLE_FRACTION
+        ]
+
 
 def _priority(route: Route) -> float:
     return route.priority_weight / route.latency_objective_ticks
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -245,6 +245,7 @@
         """The periodic evaluation: health, load, admission, weights."""
         self.channel.update_overdue(now, LOST_AFTER_GRACES * self._settings.rules.drain_grace_ticks)
         self._endpoint_list.forget_removed(now)
+        self.exclusions.log_if_late(now)
         if self._partitions.update(now):
             self.updater.has_changes = True
         if self._outliers.update(now):
--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+from ..ticks import TICKS_PER_MILLISECOND
 from .context import ControllerContext
 from .model import Endpoint, EndpointTable
 from .pending_binds import PendingBinds
@@ -30,6 +31,7 @@
 from .update_cost import UPDATE_ENTRIES
 from .weights import EndpointWeights
 
+LATE_DIVISOR = 2  # exclusions that have waited for this part of the grace are logged
 MAX_GATHERINGS = 3  # the most gathering times that exclusions wait while not all of them fit
 
 
@@ -54,6 +56,8 @@
         self._updater = updater
         grace_ticks = context.settings.rules.drain_grace_ticks
         self._urgent_after_ticks = urgent_after_ticks(grace_ticks, context.settings.channel)
+        self._late_after_ticks = grace_ticks // LATE_DIVISOR
+        self._has_logged_late = False
         self._changed: dict[str, int] = {}  # endpoints that may have to be excluded or readmitted, since when
 
     def note_change(self, now: int, endpoint: str) -> None:
@@ -68,6 +72,23 @@
         """Whether changed endpoints are not excluded yet: binds and table updates then wait."""
         return any(not self._fleet.endpoints[name].is_excluded for name in self._changed)
 
+    def log_if_late(self, now: int) -> None:
+        """Logs that exclusions wait for long, and what is ahead of them; once until none is late."""
+        waits = [
+            now - since
+            for name, since in self._changed.items()
+            if not self._fleet.endpoints[name].is_excluded
+        ]
+        is_late = max(waits, default=0) >= self._late_after_ticks
+        if is_late and not self._has_logged_late:
+            self._runtime.log(
+                f"exclusions late endpoints={len(waits)} oldest_ms={max(waits) // TICKS_PER_MILLISECOND} "
+                f"queue_entries={self._channel.queue_estimate():.0f} "
+                f"unproven_entries={self._channel.unproven_entries()} "
+                f"proxies={len(self._fleet.proxies)} waiting_proxies={len(self._pending_binds)}"
+            )
+        self._has_logged_late = is_late
+
     def send(self, now: int) -> None:
         """Sends exclusions, the oldest first, then readmissions, as far as they fit in the queue."""
         self._send(now, self._due_changes(), with_readmissions=True)
