--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -12,8 +12,8 @@
 | weights                                    | weights, weight_solver, slow_start, locality         |
 | health                                     | outliers, partitions, health_checks                  |
 | load, admission, retries                   | load, demand, conditions, admission                  |
-| what is sent when                          | table_updates, pacing, queue_limits, channel,        |
-|                                            | message_cap                                          |
+| what is sent when                          | update_sequence, table_updates, pacing,              |
+|                                            | queue_limits, channel, message_cap                   |
 """
 
 from __future__ import annotations
@@ -51,7 +51,7 @@
 from .pacing import UpdatePacer
 from .partitions import PartitionDetector
 from .pending_binds import PendingBinds
-from .queue_limits import CALM_FRACTION, QueueLimits
+from .queue_limits import QueueLimits
 from .readmissions import SessionReadmissions
 from .reminders import ExclusionReminders
 from .runtime import ControllerRuntime
@@ -61,6 +61,7 @@
 from .subsets import SubsetAssigner
 from .table_updates import TableUpdater
 from .timing import EVALUATION_INTERVAL_TICKS
+from .update_sequence import UpdateSequence
 from .weight_solver import WeightSolver
 from .weights import EndpointWeights
 
@@ -90,7 +91,6 @@
         context = _make_context(runtime, settings, seed, now)
         self._runtime = runtime
         self._settings = settings
-        self._limits = context.limits
         self.fleet = context.fleet
         self.channel = context.channel
         self.pending_binds = PendingBinds()
@@ -116,6 +116,17 @@
         self._reminders = ExclusionReminders(context, self.pending_binds, self.subsets, self.exclusions)
         self._endpoint_list = EndpointListTracker(context, self.exclusions)
         self._pacer = UpdatePacer(context)
+        self._updates = UpdateSequence(
+            context,
+            self._pacer,
+            self.pending_binds,
+            self._binder,
+            self.exclusions,
+            self._reminders,
+            self.updater,
+            self.admission,
+            self._locality,
+        )
         runtime.schedule_evaluation(EVALUATION_INTERVAL_TICKS)
 
     @property
@@ -167,79 +178,9 @@
                 assert_never(event)
 
     def flush(self, now: int) -> None:
-        """Gives the commands of a batch of events: what keeps the rules first, then binds, then tables.
-
-        Order: join bursts to subsets, exclusions and readmissions, reminders, tables without a usable
-        endpoint, binds, table updates, the end of a join burst. Binds and table updates wait for exclusions
-        that are left. Under a message cap most of this is spaced; what keeps the rules does not wait.
-        """
+        """Gives the commands of a batch of events, in the order of `UpdateSequence`."""
         self._endpoint_list.watch_if_due(now)
-        self.channel.drain(now)
-        if self._may_send_to_all(now):
-            self._send_updates(now)
-            has_messaged_all = True
-        else:
-            self._send_urgent_updates(now)
-            # what waits for the spacing may go with messages that reach all proxies anyway
-            has_messaged_all = self.fleet.proxies.keys() == self.channel.pending.keys()
-            if has_messaged_all:
-                self._send_updates(now)
-        if self.channel.pending:
-            self._runtime.send_sync_marker(self.channel.flush(now))
-            if has_messaged_all:
-                self._pacer.note_messages(now)
-
-    def _may_send_to_all(self, now: int) -> bool:
-        """Whether the spacing and the message cap allow messages that keep no rule."""
-        if not self._pacer.can_send(now):
-            return False
-        return self.channel.message_cap.allows_with_reserve(now, self.fleet.proxies)
-
-    def _send_urgent_updates(self, now: int) -> None:
-        """Gives what keeps the rules, as far as the message cap allows."""
-        urgent_binds = self._binder.urgent(now)
-        self._binder.bind_burst(now, urgent_binds)
-        self.exclusions.send_urgent(now)
-        self._send_reminders_and_fill_tables(now)
-        waiting = [proxy for proxy in urgent_binds if proxy in self.pending_binds]
-        self._binder.bind_in_order(now, waiting, self._limits.for_binds())
-
-    def _send_updates(self, now: int) -> None:
-        """Gives all that is due, in the order of `flush`."""
-        queue_before = self.channel.queue_estimate()
-        due = self._binder.due(now)
-        # a subset table holds nothing that is excluded, so these binds need not wait for exclusions
-        self._binder.bind_burst(now, due)
-        self.exclusions.send(now)
-        self._send_reminders_and_fill_tables(now)
-        # where messages go to most proxies anyway, changed weights go with them
-        is_broadcast = 2 * len(self.channel.pending) > len(self.fleet.proxies)
-        if is_broadcast or (self.admission.is_shedding and self._pacer.are_tables_due(now)):
-            self.updater.has_changes = True
-        bind_limit = 0.0 if self.exclusions.has_pending_exclusions() else self._limits.for_binds()
-        waiting = [proxy for proxy in due if proxy in self.pending_binds]
-        self._binder.bind_in_order(now, waiting, bind_limit)
-        self._update_tables(now, is_broadcast, CALM_FRACTION * bind_limit, queue_before)
-        self._binder.end_burst(now, CALM_FRACTION * bind_limit)
-
-    def _send_reminders_and_fill_tables(self, now: int) -> None:
-        all_reminded = self._reminders.send_if_due(now)
-        if not all_reminded:
-            self._binder.stop_holding_back()  # a bind carries the exclusions that did not fit
-        self.updater.fill_empty_tables(now, self._limits.for_exclusions())
-
-    def _update_tables(self, now: int, is_broadcast: bool, calm_limit: float, queue_before: float) -> None:
-        if is_broadcast:
-            self._rebalance_zones(now)
-        table_limit = self._limits.for_table_updates()
-        is_queue_short = self.channel.queue_estimate() < calm_limit
-        is_calm = self._pacer.are_tables_due(now) and is_queue_short
-        # a table update also waits for acknowledgements: a channel that has become slow shows late
-        if not (is_broadcast or is_calm) or self.channel.unproven_entries() >= table_limit:
-            return
-        has_changes = self.updater.update(now, self.fleet.tables, table_limit)
-        self.updater.has_changes = has_changes
-        self._pacer.note_tables(now, self.channel.queue_estimate() - queue_before, has_changes)
+        self._updates.send(now)
 
     def _evaluate(self, now: int) -> None:
         """The periodic evaluation: health, load, admission, weights."""
@@ -279,15 +220,11 @@
         if not self.solver.is_due(now):
             return
         if self.solver.step(now):
-            self._rebalance_zones(now)
+            self._locality.rebalance_all(now)
             self._binder.stop_holding_back()
         if self.solver.takes_changes(now):
             self.updater.has_changes = True
 
-    def _rebalance_zones(self, now: int) -> None:
-        for table in self.fleet.tables:
-            self._locality.rebalance(now, table)
-
     def _record_endpoint_report(self, now: int, report: EndpointReport) -> None:
         endpoint = self.fleet.endpoints.get(report.endpoint)
         if endpoint is None:
--- a/willowhook/decisions/locality.py
+++ b/willowhook/decisions/locality.py
@@ -21,6 +21,11 @@
         self._admission = admission
         self._weights = weights
 
+    def rebalance_all(self, now: int) -> None:
+        """Updates the remote factors of all tables."""
+        for table in self._fleet.tables:
+            self.rebalance(now, table)
+
     def rebalance(self, now: int, table: EndpointTable) -> None:
         """Updates the remote factor of a table. Under load shedding every endpoint serves all zones."""
         table.remote_factor = 1.0
