Control plane: malformed input and the report interval's end have modules of their own

Change: MalformedInputReporter keeps which proxy's input was reported; clear_report_interval stands beside the publisher. No behaviour changes.

--- a/willowhook/controlplane/intake.py
+++ b/willowhook/controlplane/intake.py
@@ -20,10 +20,10 @@
 from ..ticks import TICKS_PER_SECOND
 from ..xds import forms
 from ..xds.codec import FormError, decode
+from .malformed_input import MalformedInputReporter
 from .proxy_events import (
     AttemptsReported,
     ProxyEvent,
-    ProxyInputRejected,
     ProxySessionClosed,
     ProxySessionOpened,
     RequestsReported,
@@ -79,7 +79,6 @@
     Attributes:
         sessions: the open ones, by the name of the proxy.
         windows: the times that load reports covered.
-        last_fault: why the input that was rejected last was malformed.
     """
 
     def __init__(
@@ -108,15 +107,19 @@
         self._session_timeout_ticks = session_timeout_ticks
         self._newest_message = newest_message
         self._numbers: dict[str, int] = {}
-        self._rejected_files: dict[str, str] = {}  # by proxy: the file that was found malformed last
+        self._malformed = MalformedInputReporter(emit)
         slot_ticks = max(session_timeout_ticks // TIMEOUT_WHEEL_RESOLUTION, 1)
         self._timeouts = TimingWheel(slot_ticks, TIMEOUT_WHEEL_SLOTS, 0)
         self.sessions: dict[str, IntakeSession] = {}
         self.windows = ReportWindows()
-        self.last_fault = ""
 
     # Sessions.
 
+    @property
+    def last_fault(self) -> str:
+        """Why the input that was rejected last was malformed."""
+        return self._malformed.last_cause
+
     def open_session(
         self,
         now: int,
@@ -148,9 +151,9 @@
             check_controller(self._controller, status.node)
             is_fresh = not has_applied_any(read_requests(files))
         except FormError as error:
-            self._reject(name, STATUS, str(error))
+            self._malformed.reject(name, STATUS, str(error))
             return False
-        self._rejected_files.pop(name, None)
+        self._malformed.accept_all(name)
         proxy = IntakeSession(number, name, status.term, now, uses_discovery)
         self.sessions[name] = proxy
         self._touch(now, proxy)
@@ -218,25 +221,14 @@
             elif file != STATUS:
                 raise FormError("no file of this name is known")
         except FormError as error:
-            self._reject(name, file, str(error))
+            self._malformed.reject(name, file, str(error))
             return
         self._touch(now, proxy)
-        self._accept(name, file)
+        self._malformed.accept(name, file)
 
     def reject_unreadable(self, name: str, file: str, cause: str) -> None:
         """Notes that a file could not be read."""
-        self._reject(name, file, cause)
-
-    def _reject(self, name: str, file: str, cause: str) -> None:
-        """Reports malformed input; only once while the same file stays malformed."""
-        self.last_fault = cause
-        if self._rejected_files.get(name) != file:
-            self._rejected_files[name] = file
-            self._emit(ProxyInputRejected(name, f"{file}: {cause}"))
-
-    def _accept(self, name: str, file: str) -> None:
-        if self._rejected_files.get(name) == file:
-            del self._rejected_files[name]
+        self._malformed.reject(name, file, cause)
 
     def _is_of_session(self, proxy: IntakeSession, node: forms.Node) -> bool:
         """Whether a file belongs to the proxy's session with this controller, as the file itself says.
@@ -305,10 +297,10 @@
                 accepted.append((arrived_at, xxhash.xxh64_intdigest(data), read(report, self._routes)))
             except FormError as error:
                 malformed.append((str(error), data))
-                self._reject(name, LOAD, str(error))
+                self._malformed.reject(name, LOAD, str(error))
         if accepted:
             if not malformed:
-                self._accept(name, LOAD)
+                self._malformed.accept(name, LOAD)
             self._touch(now, proxy)
             self._emit_reported(now, proxy, accepted, arrived)
         return malformed
--- a/willowhook/controlplane/report_interval.py
+++ b/willowhook/controlplane/report_interval.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from ..files.layout import PACE
+import contextlib
+
+from ..files.layout import PACE, Folder
+from ..files.ops import FileOps
 from ..files.swap import swap_file
 from ..ticks import TICKS_PER_SECOND
 from ..xds import forms
@@ -11,6 +14,12 @@
 from .discovery_feed import DiscoveryFeed
 
 
+def clear_report_interval(folder: Folder, ops: FileOps) -> None:
+    """Removes the report interval that an earlier start published."""
+    with contextlib.suppress(FileNotFoundError):
+        ops.unlink(f"{folder.path}/{PACE}")
+
+
 class ReportIntervalPublisher:
     """Notifies proxies that call through the discovery server, and all others by one file."""
 
--- a/willowhook/controlplane/service.py
+++ b/willowhook/controlplane/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
 import time
 from collections.abc import Sequence
@@ -15,7 +14,7 @@
 from ..config.terms import Terms
 from ..decisions.controller import Controller
 from ..evaluation_timer import EvaluationTimer
-from ..files.layout import PACE, Folder
+from ..files.layout import Folder
 from ..files.ops import DiskOps, FileOps
 from ..files.swap import Shelf
 from ..files.watch import Watch, open_watch
@@ -45,7 +44,7 @@
 from .publisher import Publisher
 from .publisher_events import PublisherEvents
 from .queue_monitor import QueueMonitor
-from .report_interval import ReportIntervalPublisher
+from .report_interval import ReportIntervalPublisher, clear_report_interval
 from .report_processor import ReportProcessor
 from .resource_renderer import ResourceRenderer
 from .session_manager import SessionManager
@@ -105,7 +104,7 @@
             CredentialError: the credentials are malformed.
         """
         self.folder.open()
-        self._clear_report_interval()
+        clear_report_interval(self.folder, self.ops)
         files = self.terms.files
         watch = open_watch(files.watch, files.poll_every_ms / 1000)
         self._make_context()
@@ -123,11 +122,6 @@
 
     # Start and end.
 
-    def _clear_report_interval(self) -> None:
-        """Removes the report interval that an earlier start published."""
-        with contextlib.suppress(FileNotFoundError):
-            self.ops.unlink(f"{self.folder.path}/{PACE}")
-
     def _close(self, watch: Watch) -> None:
         log, messages = self.log, self.proxy_states.message_count
         log.info(
