Decisions: while no endpoint is known nobody is bound, and proxies keep their tables

What callers would see: discovery is down, or lists nothing yet, when a controller starts without a saved list. Each proxy that joins it, also one with a good table of another controller, is bound at once to tables without an entry; no request of its is answered until the first list comes.

Cause: proxies with an earlier table wait, unless most endpoints are excluded; that is asked as 2 * excluded >= endpoints, which is true of none at all. Fresh proxies were bound without any condition.

On a real process before the change: 'replace': True, 'rows': [] to a proxy that joined with fresh: false.

Fix: nobody is due while no endpoint is known. Where all known endpoints drain or are gone, binds go out as before.

--- a/tests/decisions/test_binding.py
+++ b/tests/decisions/test_binding.py
@@ -31,6 +31,20 @@
     assert harness.usable_weights()["h2"] < harness.usable_weights()["h4"]
 
 
+def test_proxies_keep_their_tables_while_no_endpoint_is_known() -> None:
+    """Guards against a start while discovery is down that empties the tables of all proxies."""
+    harness = ControllerHarness(settings_with(exclusions_outlive_sessions=True))
+    harness.join_proxy(0, is_fresh=False)
+    harness.join_proxy(1)
+    harness.advance(20 * SECOND)
+    harness.receive_endpoint_list({})
+    harness.advance(5 * SECOND)
+    assert not harness.runtime.bindings and not harness.runtime.message_times
+    harness.receive_endpoint_list({f"h{k}": WARM for k in range(8)})
+    harness.flush()
+    assert set(harness.runtime.bindings) == {0, 1} and len(harness.usable_weights()) == 8
+
+
 def test_proxy_with_an_earlier_table_waits_neither_long_nor_while_most_endpoints_drain() -> None:
     harness = ControllerHarness()
     harness.receive_endpoint_list({f"h{k}": WARM for k in range(8)})
--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -86,6 +86,22 @@
     assert len(re.findall(r"malformed message type='(?:done|odd|client_stats)' error=", log)) == 3
 
 
+def test_proxy_is_sent_no_empty_table_while_discovery_lists_nothing(tmp_path: Path) -> None:
+    """Guards against a start without a list that takes away the tables that proxies hold."""
+    controller = ControllerProcess(tmp_path)
+
+    async def scenario(_process: subprocess.Popen[bytes]) -> None:
+        proxy = await controller.connect()
+        await proxy.send({**ATTACH, "fresh": False})
+        with trio.move_on_after(2.0):
+            await proxy.receive_until(lambda received: bool(received))
+        assert not proxy.received
+        controller.discovery.list("h0")
+        await proxy.receive_until(lambda received: set(weights_in(received)) == {"h0"})
+
+    controller.run(scenario)
+
+
 def test_half_written_configuration_is_read_again_without_another_signal(tmp_path: Path) -> None:
     controller = ControllerProcess(tmp_path)
     new_discovery = FakeDiscovery()
--- a/willowhook/decisions/binding.py
+++ b/willowhook/decisions/binding.py
@@ -47,8 +47,10 @@
         self._holds_back_until = 0
 
     def due(self, now: int) -> list[int]:
-        """The proxies that may be bound now, the most urgent first."""
+        """The proxies that may be bound now, the most urgent first; none while no endpoint is known."""
         endpoints = self._fleet.endpoints.values()
+        if not endpoints:
+            return []  # an empty table would replace the one that a proxy holds
         excluded = sum(endpoint.is_excluded for endpoint in endpoints)
         if now >= self._holds_back_until or 2 * excluded >= len(endpoints):
             return self._pending_binds.in_order(with_earlier_table=True)
