Tests: the soak kills controllers while discovery answers nothing, and checks that tables are kept

Why: it did not find that a start without a list emptied the tables of proxies, as its check of empty tables begins when the controller was told of a warm endpoint, and discovery always answered at a start.

Change: a step that kills a controller, starts it while discovery is silent and lets proxies reconnect; a check that a controller which was told no list since its start takes no proxy's last endpoint away; the thirteenth fault put in by hand, nobody waits for a list, which it finds. No check is changed or removed.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -55,6 +55,7 @@
 
     TERMINATE = auto()
     KILL = auto()
+    KILL_WITHOUT_DISCOVERY = auto()
     RELOAD = auto()
     RELOAD_AND_TERMINATE = auto()
     CHANGE_MODE = auto()
@@ -112,6 +113,7 @@
         process: how to start it.
         running: its process; None before the first start.
         first_answer_at: when it first answered a heartbeat in this life; None: not yet.
+        started_at: when its process was last started.
         is_ending: whether it has been sent a signal to end.
         ready_times_s: how long each start took until the first answer.
         logs: of all its lives.
@@ -122,6 +124,7 @@
     folder: Path
     running: subprocess.Popen[bytes] | None = None
     first_answer_at: float | None = None
+    started_at: float = 0.0
     is_ending: bool = False
     ready_times_s: list[float] = field(default_factory=list)
     logs: list[Path] = field(default_factory=list)
@@ -141,7 +144,7 @@
         self.logs.append(self.folder / f"{self.name}-{len(self.logs)}.log")
         self.is_ending = False
         self.first_answer_at = None
-        started_at = trio.current_time()
+        self.started_at = trio.current_time()
         with self.logs[-1].open("wb") as log:
             self.running = subprocess.Popen(**self.process.command(), stderr=log)
         try:
@@ -149,7 +152,7 @@
         except (trio.TooSlowError, AssertionError) as error:
             raise AssertionError(self._describe_failed_start()) from error
         self.first_answer_at = trio.current_time()
-        self.ready_times_s.append(self.first_answer_at - started_at)
+        self.ready_times_s.append(self.first_answer_at - self.started_at)
 
     def _describe_failed_start(self) -> str:
         assert self.running is not None
@@ -193,6 +196,7 @@
             for number in range(plan.proxies)
         ]
         self._without_endpoint_since: dict[tuple[int, str], float] = {}
+        self._had_endpoint: set[tuple[int, str]] = set()  # proxy and route
         self._findings_by_kind: Counter[str] = Counter()
         self._next_name = 0
 
@@ -251,6 +255,7 @@
         methods: dict[Disturbance, Callable[[], Awaitable[None]]] = {
             Disturbance.TERMINATE: self._terminate,
             Disturbance.KILL: self._kill,
+            Disturbance.KILL_WITHOUT_DISCOVERY: self._kill_without_discovery,
             Disturbance.RELOAD: self._reload,
             Disturbance.RELOAD_AND_TERMINATE: self._reload_and_terminate,
             Disturbance.CHANGE_MODE: self._change_mode,
@@ -294,6 +299,14 @@
         await trio.sleep(self.random.uniform(0.0, 0.5))
         await controller.start()
 
+    async def _kill_without_discovery(self) -> None:
+        """A kill; discovery answers nothing while the controller starts and proxies join it again."""
+        self.discovery.mode = AnswerMode.SILENT
+        await self._kill()
+        await self._reconnect()
+        await trio.sleep(self.random.uniform(0.5, 1.5))
+        self.discovery.mode = AnswerMode.GOOD
+
     async def _reload(self) -> None:
         """SIGHUP, twice or more, at a configuration that moves discovery and may be half written at first."""
         controller = self.random.choice(self.controllers)
@@ -403,6 +416,7 @@
             self._forget_emptiness(proxy)
             return
         assert controller.first_answer_at is not None
+        self._check_kept_tables(proxy, controller)
         since = max(proxy.joined_at, controller.first_answer_at + FIRST_ANSWER_GRACE_S)
         self._check_drains(proxy, controller, since)
         self._check_empty_tables(proxy, controller, since)
@@ -437,6 +451,18 @@
                     f"for {now - began:.1f} s"
                 )
 
+    def _check_kept_tables(self, proxy: SoakProxy, controller: SoakController) -> None:
+        """A controller that was told no list since it started takes no proxy's last endpoint away."""
+        is_without_list = not self.discovery.has_told_since(controller.name, controller.started_at)
+        for route in ROUTES:
+            key = (proxy.number, route)
+            if proxy.usable(route):
+                self._had_endpoint.add(key)
+            elif is_without_list and key in self._had_endpoint:
+                self.report_finding(
+                    f"{controller.name}: told no list, left proxy {proxy.number} none for {route}"
+                )
+
     def _forget_emptiness(self, proxy: SoakProxy) -> None:
         for route in ROUTES:
             self._without_endpoint_since.pop((proxy.number, route), None)
--- a/tests/soak_discovery.py
+++ b/tests/soak_discovery.py
@@ -76,6 +76,7 @@
         version: of the list.
         mode: how it answers.
         told: by controller, when each version was written to it for the first time.
+        last_told: by controller, when a list was last written to it.
     """
 
     random: random.Random
@@ -84,6 +85,7 @@
     version: int = 1
     mode: AnswerMode = AnswerMode.GOOD
     told: dict[str, dict[int, float]] = field(default_factory=dict)
+    last_told: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._changed = trio.Event()
@@ -104,6 +106,10 @@
         times = [at for told, at in self.told.get(controller, {}).items() if told >= version]
         return min(times, default=None)
 
+    def has_told_since(self, controller: str, time: float) -> bool:
+        """Whether a controller was written a list after this time."""
+        return self.last_told.get(controller, -1.0) >= time
+
     async def serve(
         self, controller: str, port: int, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -152,6 +158,7 @@
             if mode is AnswerMode.PIECES:
                 await trio.sleep(self.random.uniform(0.0, 0.04))
         if mode is not AnswerMode.EMPTY:
+            self.last_told[controller] = trio.current_time()
             self.told.setdefault(controller, {}).setdefault(version, trio.current_time())
         return True
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -65,6 +65,17 @@
     patch.object(ProxyUpdates, "bind", bind_others).start()
 
 
+def _bind_without_endpoints() -> None:
+    due = ProxyBinder.due
+
+    def due_at_once(self: ProxyBinder, now: int) -> list[int]:
+        return (
+            due(self, now) if self._fleet.endpoints else self._pending_binds.in_order(with_earlier_table=True)
+        )
+
+    patch.object(ProxyBinder, "due", due_at_once).start()
+
+
 def _leak_descriptors() -> None:
     kept: list[Any] = []
     close = Connection.close
@@ -113,6 +124,7 @@
     "dropped notification": Fault(_drop_updates_of_proxy_0, "proxy 0 may use"),
     "grace overrun": Fault(replace(EndpointExclusions, "_exclude", lambda *_: False), "may use"),
     "proxy never bound": Fault(_never_bind_proxy_1, "proxy 1 has no endpoint"),
+    "bound without a list": Fault(_bind_without_endpoints, "told no list, left proxy"),
     "stuck restart": Fault(lambda: time.sleep(SLOW_START_SECONDS), "starts took over"),
     "leaked descriptors": Fault(_leak_descriptors, "descriptors"),
     "memory": Fault(_waste_memory, " MB"),
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 
 import soak_faults
@@ -21,6 +22,11 @@
     sends_changes=True,
     disturbances=(Disturbance.CROWD, *[Disturbance.RECONNECT] * 5),
 )
+PLANS_OF_FAULTS = {
+    "bound without a list": replace(
+        PLAN_OF_FAULTS, disturbances=(*[Disturbance.KILL_WITHOUT_DISCOVERY] * 3,)
+    ),
+}
 
 
 def test_soak_keeps_the_rules(tmp_path: Path, soak_seed: int) -> None:
@@ -34,7 +40,9 @@
     allow_descriptors()
 
     def find(name: str) -> list[str]:
-        run = SoakRun(PLAN_OF_FAULTS, tmp_path / name, (soak_faults.__file__, name))
+        run = SoakRun(
+            PLANS_OF_FAULTS.get(name, PLAN_OF_FAULTS), tmp_path / name, (soak_faults.__file__, name)
+        )
         return run.run()
 
     with ThreadPoolExecutor(RUNS_AT_ONCE) as pool:
