Trials: ports of stand-ins stay reserved while they do not listen, as those of the tests do

What was seen: tests/test_nginx_served.py, repeated at six copies beside four busy processes: "a ring by the path: /: hosts are asked for ['/', '/load/x'] and ['/']", and "Address already in use" at the restart of a stand-in host.

A host that is stopped for a while gave its port back, the director's and the front's ports were drawn and released: another copy of the test got them, and its calls came here.

The other trials take ports from blocks outside the kernel's range, held by locks: not concerned.

Measured: tests of ports, nginx-served and the platform server 27 passed beside load.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -4,7 +4,6 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -18,6 +17,7 @@
 from willowhook.platform.configuration import PATH_VARIABLE
 from willowhook.platform.fields import Fields
 from willowhook.platform.framing import FrameDecoder, encode_frame
+from willowhook.trial.ports import PortReservations
 from willowhook.web.wire import Call, Reply, answer_calls
 
 REPOSITORY = Path(__file__).parent.parent
@@ -25,16 +25,7 @@
 ATTACH = {"t": "attach", "proxy": 0, "zone": "north", "weight": 5.0, "fresh": True}
 
 
-_reservations: list[socket.socket] = []  # bound, not listening, until this process ends
-
-
-def reserve_port() -> int:
-    """A port that the kernel gives to nobody else, while servers that reuse addresses can listen at it."""
-    reservation = socket.socket()
-    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    reservation.bind(("127.0.0.1", 0))
-    _reservations.append(reservation)
-    return int(reservation.getsockname()[1])
+reserve_port = PortReservations().reserve  # until this process ends
 
 
 class FakeDiscovery:
--- a/willowhook/trial/flood.py
+++ b/willowhook/trial/flood.py
@@ -39,6 +39,7 @@
 from ..xds.codec import FormError, decode, encode, seconds
 from .day import HostPlan, draw, terms_of
 from .notes import Notes, read_notes
+from .ports import PortReservations
 from .standin_link import LOADS, token
 from .standin_roster import StandInRoster
 
@@ -308,12 +309,14 @@
 ) -> Flood:  # fmt: skip
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
-    return trio.run(_flood, folder, proxies, hosts, phase_s, per_s, say, parts, seed)
+    with PortReservations() as reservations:
+        port = reservations.reserve()
+        return trio.run(_flood, folder, proxies, hosts, phase_s, per_s, say, parts, seed, port)
 
 
 async def _flood(
     folder: Path, proxies: int, hosts: int, phase_s: float, per_s: float, say: Callable[[str], None],
-    parts: int, seed: int,
+    parts: int, seed: int, port: int,
 ) -> Flood:  # fmt: skip
     replace = msgspec.structs.replace
     day = draw(seed, hosts=1, proxies=proxies, directors=1, troubles=[], spare=0)
@@ -330,9 +333,6 @@
     done = Flood(proxies, {name: Phase() for name in PHASES}, phase_s)
     async with trio.open_nursery() as nursery:
         await nursery.start(roster.run)
-        listener = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        port = listener[0].socket.getsockname()[1]
-        await listener[0].aclose()
         url, records = f"http://127.0.0.1:{roster.port}", str(folder / "director-0.records")
         day.fleet = replace(
             day.fleet, proxies=proxies + 50, report_every_ms=PERIOD_S * 1000, reports_per_s=per_s
--- a/willowhook/trial/nginx_director.py
+++ b/willowhook/trial/nginx_director.py
@@ -27,6 +27,7 @@
 from .day import ProxyPlan
 from .nginx_same import Hosts
 from .notes import Notes
+from .ports import PortReservations
 from .standin_proxy import DirectorPlace, ProxyOrders
 from .standin_roster import StandInRoster
 
@@ -82,9 +83,10 @@
         self._processes: list[subprocess.Popen[bytes]] = []
 
     async def run(self) -> None:
-        with trio.CancelScope() as scope:
+        with PortReservations() as reservations, trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
-                self.hosts = Hosts(nursery)
+                self.hosts = Hosts(nursery, reservations)
+                self.port = reservations.reserve()
                 for name in self.plan.hosts:
                     await self.hosts.start(name)
                 self.roster = StandInRoster(Notes(str(self.folder / "roster.notes")), 0.0)
@@ -130,9 +132,6 @@
         with trio.fail_after(10):
             while not lock.exists():
                 await trio.sleep(0.05)
-        probe = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        self.port = probe[0].socket.getsockname()[1]
-        await probe[0].aclose()
         place = DirectorPlace(terms.name, terms.files.folder, terms.zone)
         first = [
             (host.id, "127.0.0.1", self.hosts.ports[host.id], terms.zone) for host in self.plan.hosts.values()
--- a/willowhook/trial/nginx_same.py
+++ b/willowhook/trial/nginx_same.py
@@ -26,6 +26,7 @@
 from ..web.wire import Broken, Call, Caller, Reply, answer_calls, dial
 from ..xds import forms, tables
 from .corpus import Sample, samples
+from .ports import PortReservations
 from .standin_blocks import BlocksProxy
 from .standin_proxy import hash_key, ring_pick
 
@@ -36,8 +37,9 @@
 class Hosts:
     """Stand-in hosts of one process, by the address that the configuration gives them."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, reservations: PortReservations) -> None:
         self._nursery = nursery
+        self._reservations = reservations
         self.ports: dict[str, int] = {}
         self.how: dict[str, str] = {}  # good, cut (after its effect), failing (500 after its effect)
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -45,17 +47,18 @@
         self._idle: dict[str, list[Caller]] = {}
 
     async def start(self, name: str) -> None:
-        async def run(task_status: trio.TaskStatus[int]) -> None:
+        async def run(task_status: trio.TaskStatus[None]) -> None:
             with trio.CancelScope() as scope:
                 self._scopes[name] = scope
-                listeners = await trio.open_tcp_listeners(self.ports.get(name, 0), host="127.0.0.1")
-                task_status.started(listeners[0].socket.getsockname()[1])
+                listeners = await trio.open_tcp_listeners(self.ports[name], host="127.0.0.1")
+                task_status.started()
                 serve = partial(answer_calls, answer=partial(self._answer, name))
                 await trio.serve_listeners(serve, listeners)
 
         self.how[name] = "good"
-        port: Any = await self._nursery.start(run)
-        self.ports[name] = int(port)
+        if name not in self.ports:
+            self.ports[name] = self._reservations.reserve()
+        await self._nursery.start(run)
 
     def stop(self, name: str) -> None:
         self._scopes[name].cancel()
@@ -271,9 +274,9 @@
     files = table_files(plan, terms_of(plan, 8, "run/x", "http://127.0.0.1:1"))
     refused = {str(row.place) for row in told if row.what == REFUSED}
     found.samples += 1
-    with trio.CancelScope() as scope:
+    with PortReservations() as reservations, trio.CancelScope() as scope:
         async with trio.open_nursery() as nursery:
-            hosts = Hosts(nursery)
+            hosts = Hosts(nursery, reservations)
             for name in plan.hosts:
                 await hosts.start(name)
             bench = Bench(sample, plan, files, hosts)
