Decisions: endpoints that are well are not logged as exclusions that are late

What operators would see: under a message cap, `exclusions late endpoints=8` after each list, with nothing to exclude.

Those that are as they should be leave that record at the next message to all, which under a cap comes later than half of the grace. Found when the change was read again.

Fix: only endpoints that are due to be excluded count, as for what is sent.

Measured: test_healthy_endpoints_that_wait_for_the_spacing_are_not_logged_as_late failed before ("exclusions late endpoints=8 oldest_ms=1500 queue_entries=0").

--- a/tests/decisions/test_exclusions.py
+++ b/tests/decisions/test_exclusions.py
@@ -90,3 +90,15 @@
         harness.advance(8 * SECOND)
     late = [line for line in harness.runtime.log_lines if line.startswith("exclusions late")]
     assert len(late) == 2 and " waiting_proxies=0" in late[0] and " endpoints=30 " in late[0]
+
+
+def test_healthy_endpoints_that_wait_for_the_spacing_are_not_logged_as_late() -> None:
+    """Guards against a line under a message cap that tells of exclusions where there are none."""
+    settings = settings_with(channel__message_cap=2, channel__message_cap_window_ticks=30 * SECOND)
+    harness = start_fleet(settings)
+    harness.advance(SECOND)
+    for _ in range(3):
+        harness.receive_endpoint_list({f"h{k}": WARM for k in range(8)})
+        harness.flush()
+        harness.advance(6 * SECOND)
+    assert not [line for line in harness.runtime.log_lines if line.startswith("exclusions late")]
--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -75,9 +75,7 @@
     def log_if_late(self, now: int) -> None:
         """Logs that exclusions wait for long, and what is ahead of them; once until none is late."""
         waits = [
-            now - since
-            for name, since in self._changed.items()
-            if not self._fleet.endpoints[name].is_excluded
+            now - self._changed[endpoint.name] for endpoint in self._due_changes() if not endpoint.is_excluded
         ]
         is_late = max(waits, default=0) >= self._late_after_ticks
         if is_late and not self._has_logged_late:
