Control plane: the intake's parameter says whom a proxy waits for

Cause: 'us' says nothing to who reads the intake alone. Change: is_waiting_for_us is is_waiting_for_controller; no behaviour. Measured: lint and types clean, tests/test_intake.py 18 passed.

--- a/willowhook/controlplane/intake.py
+++ b/willowhook/controlplane/intake.py
@@ -186,17 +186,17 @@
         self._timeouts.set(proxy.name, now + self._session_timeout_ticks + 1)
 
     def close_silent_sessions(
-        self, now: int, is_waiting_for_us: Callable[[str], bool] = lambda _name: False
+        self, now: int, is_waiting_for_controller: Callable[[str], bool] = lambda _name: False
     ) -> None:
         """Closes the sessions of proxies that were inactive for too long.
 
         Args:
             now: the current tick.
-            is_waiting_for_us: whether a proxy has sent something that was not read, or made a call that was
-                not answered. It is active then: the next step is the controller's.
+            is_waiting_for_controller: whether a proxy has sent something that was not read, or made a call
+                that was not answered. It is active then: the next step is the controller's.
         """
         for name in self._timeouts.overdue(now):
-            if is_waiting_for_us(name):
+            if is_waiting_for_controller(name):
                 self._touch(now, self.sessions[name])
                 continue
             silent_ticks = now - self.sessions[name].heard_at
--- a/willowhook/controlplane/session_timeouts.py
+++ b/willowhook/controlplane/session_timeouts.py
@@ -20,9 +20,9 @@
 
     def close_silent_sessions(self, now: int) -> None:
         """Closes the sessions that have timed out; for the decision task."""
-        self._intake.close_silent_sessions(now, self._is_waiting_for_us)
+        self._intake.close_silent_sessions(now, self._is_waiting_for_controller)
 
-    def _is_waiting_for_us(self, name: str) -> bool:
+    def _is_waiting_for_controller(self, name: str) -> bool:
         """Whether a proxy has sent something that was not read, or made a call that was not answered."""
         if self._folder_feed.has_unread_report(name):
             return True
