Tests: in the soak a believable list tells of all that it holds, whatever version it names

Cause: noted a list by the version that it names. The trace allowed less: only a list that names a lower version than the process was given before is refused. One that goes backwards and is believed (the first of a process, or one that is still above what it holds) has the present entries, and was no longer held against the controller. That was looser than before.

Change: each written list keeps what it holds and what it names; one that names less than the process was given before does not count, all others tell of all that they hold.

--- a/tests/soak_discovery.py
+++ b/tests/soak_discovery.py
@@ -69,12 +69,14 @@
     """A list that was written to a controller.
 
     Attributes:
-        version: as the answer names it.
+        version: of what it holds.
+        named_version: as it says; a list that names a lower one than the process holds is not believed.
         asked_at: when the controller asked for it.
         at: when it was written.
     """
 
     version: int
+    named_version: int
     asked_at: float
     at: float
 
@@ -114,16 +116,19 @@
         self._changed = trio.Event()
 
     def told_at(self, controller: str, version: int, started_at: float = 0.0) -> float | None:
-        """When a controller was first written a list with this version or a later one.
+        """When a controller was first written a believable list with this version or a later one.
 
         What the process asked for that was killed before this one started is not known to this one, also if
         it was written later.
         """
-        written = self.told.get(controller, [])
-        return min(
-            (each.at for each in written if each.version >= version and each.asked_at >= started_at),
-            default=None,
-        )
+        highest_named = 0
+        for each in self.told.get(controller, []):
+            if each.asked_at < started_at or each.named_version < highest_named:
+                continue
+            if each.version >= version:
+                return each.at
+            highest_named = each.named_version
+        return None
 
     def has_told_since(self, controller: str, time: float) -> bool:
         """Whether a controller was written a list that it asked for after this time."""
@@ -170,6 +175,7 @@
             return False
         if mode is AnswerMode.LATE:
             await trio.sleep(self.random.uniform(0.1, 0.9))
+        version = self.version
         answered = self._list(mode, after)
         body = json.dumps(answered).encode()
         answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
@@ -178,9 +184,8 @@
             if mode is AnswerMode.PIECES:
                 await trio.sleep(self.random.uniform(0.0, 0.04))
         if mode is not AnswerMode.EMPTY:
-            # a list with a lower version is not believed, and tells of no change
             self.told.setdefault(controller, []).append(
-                WrittenList(answered["seq"], asked_at, trio.current_time())
+                WrittenList(version, answered["seq"], asked_at, trio.current_time())
             )
         return True
 
