Endpoint list: the pause after a loss stays within an eighth of the drain grace

Cause: EndpointListTracker.handle_loss drew its pause from the interval within which a list has to be asked for (1 s, doubled to a third of contract.ask-every, times 0.5 to 1.5). The grace of an answer that was written and lost runs meanwhile. The end of a pause was noticed at the next flush, up to 0.5 s later at a controller without events.

Fix: pauses begin at 0.1 s and are at most an eighth of the drain grace (a third of ask-every if that is shorter), jitter only shortens them, and a timer ends each. A timer for a request is no evaluation; their number is counted, so the series of evaluations stays one. A pause is logged only when it is longer than the last one, as there are more losses now.

--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -164,7 +164,7 @@
             case MessageAcknowledged():
                 self.channel.acknowledge(now, event.proxy, event.marker)
             case EvaluationDue():
-                self._evaluate(now)
+                self._handle_timer(now)
             case ProxyJoined():
                 self._add_proxy(now, event)
             case ProxyLeft():
@@ -183,6 +183,11 @@
         self._endpoint_list.watch_if_due(now)
         self._updates.send(now)
 
+    def _handle_timer(self, now: int) -> None:
+        """Evaluates, unless the timer was set only to request the list in the next flush."""
+        if not self._endpoint_list.take_timer(now):
+            self._evaluate(now)
+
     def _evaluate(self, now: int) -> None:
         """Runs the periodic evaluation of health, load, admission and weights."""
         self.channel.update_overdue(now, LOST_AFTER_GRACES * self._settings.rules.drain_grace_ticks)
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
+import heapq
+
 from ..ticks import TICKS_PER_SECOND
 from .context import ControllerContext
 from .events import EndpointEntry, EndpointListReceived, EndpointState
 from .exclusions import EndpointExclusions
 from .model import RECENT_BUCKETS, Endpoint
 
-FIRST_BACKOFF_TICKS = TICKS_PER_SECOND
-BACKOFFS_PER_POLL = 3  # maximum backoff = discovery_poll_ticks / 3
+FIRST_BACKOFF_TICKS = TICKS_PER_SECOND // 10
+BACKOFFS_PER_GRACE = 8  # maximum backoff = drain grace / 8; the grace of a lost answer is running already
+BACKOFFS_PER_POLL = 3  # maximum backoff = discovery_poll_ticks / 3, if that is shorter
 INITIAL_LATENCY_FACTOR = 0.5  # latency factor of a newly started endpoint
 FORGET_AFTER_TICKS = 30 * TICKS_PER_SECOND  # time after its exclusion when a removed endpoint is dropped
 INITIAL_LISTS = 2  # the saved copy and the first response: their endpoints do not count as new
 REFETCH_DIVISOR = 4  # refetch interval of an implausible list = drain grace / 4
-MIN_JITTER = 0.5  # smallest factor on the backoff
-MAX_JITTER = 1.5  # largest factor on the backoff
+MIN_JITTER = 0.5  # smallest factor on the backoff; the largest one is 1
 
 
 class EndpointListTracker:
@@ -30,13 +32,16 @@
         self._rules = context.settings.rules
         self._received_lists = 0
         self._backoff_ticks = FIRST_BACKOFF_TICKS
+        self._logged_backoff_ticks = 0
         self._watch_at: int | None = context.started_at if context.settings.list_on_request else None
+        self._watch_timers: list[int] = []  # a heap: when the timers are due that were set for a watch
         self._refetch_at: int | None = None
 
     def handle_list(self, now: int, event: EndpointListReceived) -> None:
         """Applies a complete list, or a set of changes to the list."""
         self._received_lists += 1
         self._backoff_ticks = FIRST_BACKOFF_TICKS
+        self._logged_backoff_ticks = 0
         for entry in event.entries:
             self._update_endpoint(now, entry)
         if event.is_complete:
@@ -44,12 +49,24 @@
             self._remove_missing(now, {entry.name for entry in event.entries})
 
     def handle_loss(self, now: int) -> None:
-        """Handles a failed request for the list: requests it again after a backoff with jitter."""
-        max_wait_seconds = MAX_JITTER * self._backoff_ticks / TICKS_PER_SECOND
-        self._runtime.log(f"endpoint list lost retry_within_seconds={max_wait_seconds:g}")
-        self._watch_at = now + int(self._backoff_ticks * (MIN_JITTER + self._random_fraction()))
-        max_backoff_ticks = max(self._rules.discovery_poll_ticks // BACKOFFS_PER_POLL, FIRST_BACKOFF_TICKS)
-        self._backoff_ticks = min(2 * self._backoff_ticks, max_backoff_ticks)
+        """Handles a failed request for the list: requests it again after a backoff with jitter.
+
+        Only a pause that is longer than the one before is logged.
+        """
+        if self._backoff_ticks > self._logged_backoff_ticks:
+            self._logged_backoff_ticks = self._backoff_ticks
+            max_wait_seconds = self._backoff_ticks / TICKS_PER_SECOND
+            self._runtime.log(f"endpoint list lost retry_within_seconds={max_wait_seconds:g}")
+        jitter = MIN_JITTER + (1 - MIN_JITTER) * self._random_fraction()
+        self._schedule_watch(now, int(jitter * self._backoff_ticks))
+        self._backoff_ticks = min(2 * self._backoff_ticks, self._max_backoff_ticks)
+
+    def take_timer(self, now: int) -> bool:
+        """Takes a due timer that was set for a watch; returns False if none is due."""
+        if not self._watch_timers or now < self._watch_timers[0]:
+            return False
+        heapq.heappop(self._watch_timers)
+        return True
 
     def watch_if_due(self, now: int) -> None:
         """Requests the list and its later changes if a request is due."""
@@ -78,6 +95,19 @@
             self._exclusions.forget_endpoint(name)
             self._runtime.forget_endpoint(name)
 
+    @property
+    def _max_backoff_ticks(self) -> int:
+        backoff_ticks = self._rules.drain_grace_ticks // BACKOFFS_PER_GRACE
+        if self._rules.discovery_poll_ticks:
+            backoff_ticks = min(backoff_ticks, self._rules.discovery_poll_ticks // BACKOFFS_PER_POLL)
+        return max(backoff_ticks, FIRST_BACKOFF_TICKS)
+
+    def _schedule_watch(self, now: int, delay_ticks: int) -> None:
+        """Schedules a watch, and a timer, because a controller without events would be late to notice."""
+        self._watch_at = now + delay_ticks
+        heapq.heappush(self._watch_timers, self._watch_at)
+        self._runtime.schedule_evaluation(delay_ticks)
+
     @property
     def _refetch_ticks(self) -> int:
         return self._rules.drain_grace_ticks // REFETCH_DIVISOR
--- a/willowhook/decisions/events.py
+++ b/willowhook/decisions/events.py
@@ -144,7 +144,7 @@
 
 
 class EvaluationDue(NamedTuple):
-    """A periodic evaluation that the controller scheduled is due."""
+    """A timer that the controller set is due: for the periodic evaluation, or to request the list again."""
 
 
 Event = (
--- a/willowhook/decisions/settings.py
+++ b/willowhook/decisions/settings.py
@@ -91,7 +91,7 @@
     Attributes:
         empty_table_grace_ticks: maximum time that a connected proxy may be without a usable endpoint.
         drain_grace_ticks: time after which no request may reach a draining or removed endpoint.
-        discovery_poll_ticks: maximum time between two requests for the endpoint list; bounds the backoff.
+        discovery_poll_ticks: maximum time between two requests for the endpoint list; 0 if none is stated.
         slow_start_fraction: share of its capacity that an endpoint has when it starts.
         slow_start_ticks: time after its start when an endpoint has its full capacity.
         recovery_overload_factor: maximum load of a recovering endpoint, as a multiple of its capacity.
--- a/willowhook/platform/discovery_events.py
+++ b/willowhook/platform/discovery_events.py
@@ -13,7 +13,7 @@
     """Submits the changes of the endpoint list, and logs when discovery is lost and when it recovers.
 
     It logs one line per loss and one per recovery. The controller's decisions also log a line, `endpoint list
-    lost`, at each retry, with its backoff.
+    lost`, with the pause before its retry, while that grows.
 
     Args:
         submit: handles the events.
