Discovery watch: the first request after a lost answer does not wait for a change

What callers would see: two answers in a row are lost, and a drain in the first one is kept too late. The first loss is noticed 3.2 s after its request and the second one 3.2 s after the next, 6.4 s and two pauses in all; a list counts as received after 4 s, and a grace of 2 s has passed by then.

Cause: every request waits 2 s for a change, also the one that is to find out what a lost answer said.

Fix: the first request after a lost answer asks for the changes without a wait, so its loss is noticed after 1.2 s. After a second one the wait returns: discovery may merely answer slowly, and a request that is given up after 1.2 s each time would never be answered. A connection that did not come up had no answer to lose, and does not count.

--- a/tests/test_platform_discovery_watch.py
+++ b/tests/test_platform_discovery_watch.py
@@ -227,6 +227,33 @@
     run_scenario(scenario)
 
 
+def test_first_request_after_a_lost_answer_does_not_wait_for_a_change() -> None:
+    """Guards against drains that come too late when two answers in a row are lost."""
+
+    async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
+        async def request_after_loss(losses: int, stream: trio.SocketStream) -> tuple[str, trio.SocketStream]:
+            await trio.sleep(0.15)  # longer than IDLE_CLOSE_S, so the close is a loss
+            await stream.aclose()
+            with trio.fail_after(5):
+                while len(recorder.losses) < losses:
+                    await trio.sleep(0.01)
+            recorder.watch.resume()
+            return await discovery.next_request()
+
+        _, stream = await discovery.next_request()
+        target, stream = await request_after_loss(1, stream)
+        assert target.endswith("after=7&wait_ms=0")
+        target, stream = await request_after_loss(2, stream)
+        assert target.endswith("after=7&wait_ms=2000")  # a slow discovery is allowed the whole time again
+        await send_answer(stream, 8)
+        target, stream = await discovery.next_request()
+        assert target.endswith("after=8&wait_ms=2000")
+        target, stream = await request_after_loss(3, stream)
+        assert target.endswith("after=8&wait_ms=0")
+
+    run_scenario(scenario)
+
+
 def test_connection_that_does_not_come_up_is_a_loss_before_the_kernel_repeats_its_request() -> None:
     """Guards against a path that is restored during an attempt to connect, and is used a second later."""
 
--- a/willowhook/platform/discovery_watch.py
+++ b/willowhook/platform/discovery_watch.py
@@ -48,6 +48,7 @@
         self._resumed = trio.Event()
         self._exchange_scope = trio.CancelScope()  # the request in flight, and the handling of its answer
         self._wants_complete_list = False
+        self._lost_answers = 0  # requests in a row that were sent and not answered
         self._connection: ClientConnection | None = None
         self._connected_to = address
 
@@ -110,9 +111,12 @@
         except (ConnectionLostError, trio.TooSlowError, FramingError) as error:
             with trio.CancelScope(shield=True):  # a change of the address here must not hide the loss
                 await self._disconnect()
+            self._lost_answers += _may_have_lost_answer(error)
             if address == self._address:
                 self._pause()
                 self._handle_loss(_describe_loss(error))
+        else:
+            self._lost_answers = 0
         finally:
             if answer is None and is_complete:
                 self._wants_complete_list = True
@@ -124,14 +128,24 @@
             target = list_request_target()
             timeout_s = ANSWER_TIMEOUT_S
         else:
-            target = change_request_target(self.version, CHANGE_WAIT_MS)
-            timeout_s = CHANGE_WAIT_MS / 1000 + ANSWER_TIMEOUT_S
+            wait_ms = self._change_wait_ms
+            target = change_request_target(self.version, wait_ms)
+            timeout_s = wait_ms / 1000 + ANSWER_TIMEOUT_S
         with trio.fail_after(timeout_s):
             reply = await self._call(target.encode())
         if reply.status != STATUS_OK:
             raise ConnectionLostError(f"unexpected status {reply.status}", True)
         return decode_object(reply.body)
 
+    @property
+    def _change_wait_ms(self) -> int:
+        """How long the next request waits for a change.
+
+        The first one after a lost answer does not wait, so that the loss of its answer is detected sooner. A
+        second loss may mean that discovery answers slowly, so later requests allow it the whole time again.
+        """
+        return 0 if self._lost_answers == 1 else CHANGE_WAIT_MS
+
     async def _call(self, target: bytes) -> Reply:
         """Requests on the existing connection if usable, else on a new one. Raises ConnectionLostError."""
         connection = self._connection
@@ -159,5 +173,12 @@
             await connection.close()
 
 
+def _may_have_lost_answer(error: Exception) -> bool:
+    """Whether the request may have been answered; one that found no connection was not."""
+    if isinstance(error, ConnectionLostError):
+        return error.sent
+    return isinstance(error, trio.TooSlowError)
+
+
 def _describe_loss(error: Exception) -> str:
     return "timed out waiting for an answer" if isinstance(error, trio.TooSlowError) else str(error)
