File control plane: a lost list is requested again within an eighth of the drain grace

What callers would see: with roster.subscribe off, the reader of the endpoint list repeats a failed request by itself, 1 s later whatever the drain grace is, so a drain that falls into a loss is known up to 1 s after discovery is back.

How long that program waits for an answer (roster.wait_ms, timeout_ms) is the operator's choice.

Evidence: test_failed_list_requests_are_repeated_within_an_eighth_of_the_drain_grace failed with the pause of 1 s. tests/test_controlplane_components.py and tests/decisions/test_endpoint_list.py: 19 passed.

--- a/tests/test_controlplane_components.py
+++ b/tests/test_controlplane_components.py
@@ -3,24 +3,33 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import pairwise
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 import trio
 from click.testing import CliRunner
+from controlplane_fixtures import SETTINGS
+from msgspec import structs
+from trio.testing import MockClock
 
 from willowhook.cli.main import main
+from willowhook.config.example import EXAMPLE
 from willowhook.controlplane.clock import Clock
 from willowhook.controlplane.condition_log import ConditionLog
+from willowhook.controlplane.context import ServiceContext
 from willowhook.controlplane.decider import ControllerPort
 from willowhook.controlplane.decision_queue import DecisionQueue
+from willowhook.controlplane.endpoint_list_reader import EndpointListReader
 from willowhook.controlplane.handoff_codec import decode_packet, encode_packet
 from willowhook.controlplane.inbound_events import ProxyFolderRemoved, WorkAvailable
 from willowhook.decisions.events import EndpointListLost, EvaluationDue
 from willowhook.membership.handoff import EndpointSums, Hint, Packet
 from willowhook.records.writer import RecordWriter, read_records
 from willowhook.roster.forms import DiscoveredEndpoint
+from willowhook.roster.reader import DiscoveryClient
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.xds.codec import MessageFormatError
 
@@ -99,6 +108,27 @@
     assert handled == [(2, EvaluationDue())]
 
 
+def test_failed_list_requests_are_repeated_within_an_eighth_of_the_drain_grace() -> None:
+    """Guards against drains that come too late after a loss where the reader repeats requests by itself."""
+    settings = SETTINGS._replace(rules=SETTINGS.rules._replace(drain_grace_ticks=3 * TICKS_PER_SECOND))
+    terms = structs.replace(EXAMPLE, roster=structs.replace(EXAMPLE.roster, subscribe=False))
+    context = SimpleNamespace(terms=terms, settings=settings, conditions=None)
+    requested_at: list[float] = []
+
+    class FailingReader(EndpointListReader):
+        async def _poll(self, client: DiscoveryClient, needs_complete_list: bool) -> bool:
+            requested_at.append(trio.current_time())
+            return False
+
+    async def run() -> None:
+        with trio.move_on_after(30):
+            await FailingReader(cast(ServiceContext, context)).run_watch()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    pauses = [later - earlier for earlier, later in pairwise(requested_at)]
+    assert len(pauses) > 70 and max(pauses) <= 3 / 8
+
+
 def test_handoff_packet_is_decoded_as_encoded_without_unknown_endpoints() -> None:
     addresses = {"a": ("127.0.0.1", 9000, "north"), "b": ("127.0.0.1", 9001, "south")}
     known = {"a": EndpointSums(10, 2, 5000), "b": EndpointSums(3, 3, 0)}
--- a/willowhook/controlplane/endpoint_list_reader.py
+++ b/willowhook/controlplane/endpoint_list_reader.py
@@ -5,15 +5,16 @@
 import trio
 
 from ..decisions.events import EndpointListLost
+from ..decisions.timing import max_list_pause_ticks
 from ..files.layout import ENDPOINT_LIST_FILE
 from ..files.swap import read_file, swap_file
 from ..roster.forms import DiscoveredEndpoint, DiscoveryError, parse_endpoints
 from ..roster.reader import DiscoveryClient
+from ..ticks import TICKS_PER_SECOND
 from .context import ServiceContext
 from .inbound_events import EndpointListFetched
 
 MAX_LIST_BYTES = 1 << 26
-RETRY_SECONDS = 1.0  # after a failure, if the controller does not request the list itself
 
 
 class EndpointListReader:
@@ -24,6 +25,7 @@
         self._context = context
         self._settings = context.terms.roster
         self._conditions = context.conditions
+        self._retry_seconds = max_list_pause_ticks(context.settings.rules) / TICKS_PER_SECOND
         self._watch_requested = trio.Event()
         self._fetch_requested = trio.Event()
         if not self._settings.subscribe:
@@ -60,7 +62,7 @@
                 self._watch_requested = trio.Event()
                 await self._context.queue.send(EndpointListLost())
             else:
-                await trio.sleep(RETRY_SECONDS)
+                await trio.sleep(self._retry_seconds)
 
     async def run_fetches(self) -> None:
         """Fetches a complete list for each request, until cancelled."""
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -9,10 +9,8 @@
 from .events import EndpointEntry, EndpointListReceived, EndpointState
 from .exclusions import EndpointExclusions
 from .model import RECENT_BUCKETS, Endpoint
+from .timing import MIN_LIST_PAUSE_TICKS, max_list_pause_ticks
 
-FIRST_BACKOFF_TICKS = TICKS_PER_SECOND // 10
-BACKOFFS_PER_GRACE = 8  # maximum backoff = drain grace / 8; the grace of a lost answer is running already
-BACKOFFS_PER_POLL = 3  # maximum backoff = discovery_poll_ticks / 3, if that is shorter
 INITIAL_LATENCY_FACTOR = 0.5  # latency factor of a newly started endpoint
 FORGET_AFTER_TICKS = 30 * TICKS_PER_SECOND  # time after its exclusion when a removed endpoint is dropped
 INITIAL_LISTS = 2  # the saved copy and the first response: their endpoints do not count as new
@@ -31,7 +29,7 @@
         self._bucket_ticks = context.bucket_ticks
         self._rules = context.settings.rules
         self._received_lists = 0
-        self._backoff_ticks = FIRST_BACKOFF_TICKS
+        self._backoff_ticks = MIN_LIST_PAUSE_TICKS
         self._logged_backoff_ticks = 0
         self._watch_at: int | None = context.started_at if context.settings.list_on_request else None
         self._watch_timers: list[int] = []  # a heap: when the timers are due that were set for a watch
@@ -40,7 +38,7 @@
     def handle_list(self, now: int, event: EndpointListReceived) -> None:
         """Applies a complete list, or a set of changes to the list."""
         self._received_lists += 1
-        self._backoff_ticks = FIRST_BACKOFF_TICKS
+        self._backoff_ticks = MIN_LIST_PAUSE_TICKS
         self._logged_backoff_ticks = 0
         for entry in event.entries:
             self._update_endpoint(now, entry)
@@ -59,7 +57,7 @@
             self._runtime.log(f"endpoint list lost retry_within_seconds={max_wait_seconds:g}")
         jitter = MIN_JITTER + (1 - MIN_JITTER) * self._random_fraction()
         self._schedule_watch(now, int(jitter * self._backoff_ticks))
-        self._backoff_ticks = min(2 * self._backoff_ticks, self._max_backoff_ticks)
+        self._backoff_ticks = min(2 * self._backoff_ticks, max_list_pause_ticks(self._rules))
 
     def take_timer(self, now: int) -> bool:
         """Takes a due timer that was set for a watch; returns False if none is due."""
@@ -95,13 +93,6 @@
             self._exclusions.forget_endpoint(name)
             self._runtime.forget_endpoint(name)
 
-    @property
-    def _max_backoff_ticks(self) -> int:
-        backoff_ticks = self._rules.drain_grace_ticks // BACKOFFS_PER_GRACE
-        if self._rules.discovery_poll_ticks:
-            backoff_ticks = min(backoff_ticks, self._rules.discovery_poll_ticks // BACKOFFS_PER_POLL)
-        return max(backoff_ticks, FIRST_BACKOFF_TICKS)
-
     def _schedule_watch(self, now: int, delay_ticks: int) -> None:
         """Schedules a watch, and a timer, because a controller without events would be late to notice."""
         self._watch_at = now + delay_ticks
