Soak: lost answers of discovery count as received, and drains are checked from then on

Cause of the gap: the soak's discovery could be silent, but its check of drains began only when a list had been sent. The protocol lets an answer count 2 s after the wait of its request, "whether or not it arrived", so pauses after a loss were never checked.

Change: answers that the silent mode swallows are recorded with the time from which they count; the check of drains uses the earlier of both. An injected fault, a pause of 5 s after a loss, has to be found. No check was taken out.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,7 +20,7 @@
 
 import trio
 from platform_process import SETTINGS, ControllerProcess, reserve_port
-from soak_discovery import AnswerMode, SoakDiscovery
+from soak_discovery import AnswerMode, ListedEndpoint, SoakDiscovery
 from soak_peers import BadClient, SoakProxy, run_bad_client, run_collector
 
 from willowhook.platform.fields import Fields
@@ -46,6 +46,7 @@
 MAX_FINDINGS_PER_KIND = 3
 CHECK_INTERVAL_S = 0.1
 DISTURBANCES_PER_RUN = 9
+UNCHANGED_ENDPOINTS = 4  # the first ones in the list stay warm and active
 SETTLING_S = DRAIN_GRACE_S + LIST_FETCH_TIMEOUT_S / 2
 LOG_LINE = re.compile(r"\d+\.\d{3} \S")
 
@@ -59,6 +60,7 @@
     RELOAD = auto()
     RELOAD_AND_TERMINATE = auto()
     CHANGE_MODE = auto()
+    LOSE_ANSWERS = auto()
     RECONNECT = auto()
     BAD_CLIENTS = auto()
 
@@ -261,6 +263,7 @@
             Disturbance.RELOAD: self._reload,
             Disturbance.RELOAD_AND_TERMINATE: self._reload_and_terminate,
             Disturbance.CHANGE_MODE: self._change_mode,
+            Disturbance.LOSE_ANSWERS: self._lose_answers,
             Disturbance.RECONNECT: self._reconnect,
             Disturbance.BAD_CLIENTS: self._connect_bad_clients,
         }
@@ -344,6 +347,15 @@
         await trio.sleep(self.random.uniform(0.3, 2.5))
         self.discovery.mode = AnswerMode.GOOD
 
+    async def _lose_answers(self) -> None:
+        """Makes an endpoint drain while the answers of service discovery are lost."""
+        self.discovery.mode = AnswerMode.SILENT
+        warm = [each for each in self.discovery.endpoints.values() if self._is_warm(each)]
+        if len(warm) > UNCHANGED_ENDPOINTS:
+            self.discovery.change(self.random.choice(warm[UNCHANGED_ENDPOINTS:]).name, "leaving")
+        await trio.sleep(self.random.uniform(0.3, 2.5))
+        self.discovery.mode = AnswerMode.GOOD
+
     async def _reconnect(self) -> None:
         """Makes some or all proxies reconnect in a loop."""
         share = self.random.choice([0.1, 1.0])
@@ -371,23 +383,28 @@
         return report
 
     def _change_endpoint_list(self) -> None:
-        """Makes one endpoint drain, leave, return, restart or appear; at least four stay warm and active."""
+        """Makes one endpoint drain, leave, return, restart or appear; the first few stay warm and active."""
         endpoints = self.discovery.endpoints
         active = [each for each in endpoints.values() if each.health == "active"]
-        warm = [each for each in active if each.started_at_ms == 0]
+        warm = [each for each in active if self._is_warm(each)]
         inactive = [each for each in endpoints.values() if each.health != "active"]
         action = self.random.randrange(5)
         now_ms = time.time() * 1000
-        if action < 2 and len(warm) > 4:
-            endpoint = self.random.choice(warm[4:])  # the first four are never changed
+        if action < 2 and len(warm) > UNCHANGED_ENDPOINTS:
+            endpoint = self.random.choice(warm[UNCHANGED_ENDPOINTS:])
             self.discovery.change(endpoint.name, ("leaving", "left")[action])
-        elif action == 2 and len(warm) > 4:
-            self.discovery.change(self.random.choice(warm[4:]).name, "active", now_ms)
+        elif action == 2 and len(warm) > UNCHANGED_ENDPOINTS:
+            restarted = self.random.choice(warm[UNCHANGED_ENDPOINTS:])
+            self.discovery.change(restarted.name, "active", now_ms)
         elif action == 3 and inactive:
             self.discovery.change(self.random.choice(inactive).name, "active", now_ms)
         else:
             self._add_endpoint(now_ms)
 
+    @staticmethod
+    def _is_warm(endpoint: ListedEndpoint) -> bool:
+        return endpoint.health == "active" and endpoint.started_at_ms == 0
+
     def _add_endpoint(self, started_at_ms: float) -> None:
         self._last_endpoint_number += 1
         self.discovery.change(f"h{self._last_endpoint_number}", "active", started_at_ms)
@@ -434,11 +451,13 @@
             endpoint = self.discovery.endpoints[name]
             if endpoint.health == "active":
                 continue
-            sent_list_at = self._sent_list_at(controller, endpoint.changed_version)
-            if sent_list_at is not None and now - max(sent_list_at, since) > DRAIN_GRACE_S + SLACK_S:
+            received_at = self.discovery.received_list_at(
+                controller.name, endpoint.changed_version, controller.started_at
+            )
+            if received_at is not None and now - max(received_at, since) > DRAIN_GRACE_S + SLACK_S:
                 self.report_finding(
                     f"{controller.name}: proxy {proxy.number} may use {name} ({endpoint.health}) "
-                    f"{now - max(sent_list_at, since):.1f} s after the list was sent"
+                    f"{now - max(received_at, since):.1f} s after the list was received"
                 )
 
     def _check_empty_tables(self, proxy: SoakProxy, controller: SoakController, since: float) -> None:
--- a/tests/soak_discovery.py
+++ b/tests/soak_discovery.py
@@ -15,6 +15,11 @@
 
 from willowhook.platform.fields import Fields
 
+# Limits given by the protocol: a lost answer counts as received this long after its request was sent or, if
+# the request may wait, after its wait has ended.
+LOST_ANSWER_RECEIVED_S = 6.0
+LOST_CHANGES_RECEIVED_S = 2.0
+
 WATCH = re.compile(rb"GET /v1/servers(?:\?after=(\d+)&wait_ms=(\d+))? ")
 
 
@@ -92,6 +97,7 @@
         version: the present version of the list.
         mode: how requests are answered.
         sent_lists: the lists sent to each controller.
+        lost_lists: the lists in lost answers to each controller; sent when they count as received.
     """
 
     random: random.Random
@@ -100,6 +106,7 @@
     version: int = 1
     mode: AnswerMode = AnswerMode.GOOD
     sent_lists: dict[str, list[SentList]] = field(default_factory=dict)
+    lost_lists: dict[str, list[SentList]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._changed = trio.Event()
@@ -130,6 +137,16 @@
             highest_stated = sent.stated_version
         return None
 
+    def received_list_at(self, controller: str, version: int, started_at: float = 0.0) -> float | None:
+        """Returns when a controller received this version, or counts as having received it; None: not yet.
+
+        As `sent_list_at`, but a lost answer counts as well.
+        """
+        lost = self.lost_lists.get(controller, [])
+        times = [each.sent_at for each in lost if each.requested_at >= started_at and each.version >= version]
+        sent_at = self.sent_list_at(controller, version, started_at)
+        return min([*times, *([sent_at] if sent_at is not None else [])], default=None)
+
     def has_sent_list_since(self, controller: str, time: float) -> bool:
         """Returns whether a controller was sent a list that it requested at or after this time."""
         return any(each.requested_at >= time for each in self.sent_lists.get(controller, []))
@@ -171,6 +188,7 @@
         if mode is AnswerMode.RESET:
             return False
         if mode is AnswerMode.SILENT:
+            self._record_lost_list(controller, requested_at, int(match[2]) / 1000 if match[2] else None)
             await trio.sleep(60)
             return False
         if mode is AnswerMode.LATE:
@@ -189,6 +207,12 @@
             )
         return True
 
+    def _record_lost_list(self, controller: str, requested_at: float, wait_s: float | None) -> None:
+        delay_s = LOST_ANSWER_RECEIVED_S if wait_s is None else wait_s + LOST_CHANGES_RECEIVED_S
+        self.lost_lists.setdefault(controller, []).append(
+            SentList(self.version, self.version, requested_at, requested_at + delay_s)
+        )
+
     def _build_list(self, mode: AnswerMode, after: int | None) -> Fields:
         if mode is AnswerMode.EMPTY:
             return {"seq": self.version, "whole": True, "hosts": []}
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -11,6 +11,7 @@
 import trio
 
 from willowhook.decisions.binding import ProxyBinder
+from willowhook.decisions.endpoint_list import EndpointListTracker
 from willowhook.decisions.exclusions import EndpointExclusions
 from willowhook.decisions.message_cap import MessageCap
 from willowhook.decisions.pacing import UpdatePacer
@@ -20,8 +21,10 @@
 from willowhook.platform.discovery_watch import DiscoveryWatch
 from willowhook.platform.process import run_process
 from willowhook.platform.proxy_updates import ProxyUpdates
+from willowhook.ticks import TICKS_PER_SECOND
 
 STARTUP_DELAY_S = 10.5  # over READY_WITHIN_S of the soak test
+PAUSE_AFTER_LOSS_TICKS = 5 * TICKS_PER_SECOND  # over the drain grace of the soak test
 WASTED_BYTES = 80 << 20  # over MAX_RESIDENT_MB of the soak test
 
 Install = Callable[[], object]
@@ -99,6 +102,15 @@
     patch.object(DiscoveryWatch, "_exchange_once", exchange_first_time_only).start()
 
 
+def _pause_after_losses() -> None:
+    schedule_watch = EndpointListTracker._schedule_watch
+
+    def schedule_later(self: EndpointListTracker, now: int, _delay_ticks: int) -> None:
+        schedule_watch(self, now, PAUSE_AFTER_LOSS_TICKS)
+
+    patch.object(EndpointListTracker, "_schedule_watch", schedule_later).start()
+
+
 def _ignore_message_cap() -> None:
     patch.object(MessageCap, "_has_room", lambda *_: True).start()
     patch.object(UpdatePacer, "can_send", lambda *_: True).start()
@@ -129,6 +141,7 @@
     "leaked descriptors": Fault(_leak_descriptors, "descriptors"),
     "memory": Fault(_waste_memory, " MB"),
     "discovery followed once": Fault(_follow_discovery_once, "did not ask for the last list"),
+    "long pauses after a loss": Fault(_pause_after_losses, "(leaving)"),
     "no message cap": Fault(_ignore_message_cap, "messages in"),
     "no slow start": Fault(_ignore_slow_start, "of the weight of a warm one"),
     "nobody rejected": Fault(_reject_nobody, "bad client"),
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -23,6 +23,7 @@
     disturbances=(Disturbance.BAD_CLIENTS, *[Disturbance.RECONNECT] * 5),
 )
 FAULT_PLAN_OVERRIDES = {
+    "long pauses after a loss": replace(FAULT_PLAN, disturbances=(*[Disturbance.LOSE_ANSWERS] * 4,)),
     "bound without a list": replace(FAULT_PLAN, disturbances=(*[Disturbance.KILL_WITHOUT_DISCOVERY] * 3,)),
 }
 
