Locality: a controller that only idle proxies have joined counts them alike, and does not crash

Cause: LocalitySpillover._demand_fraction divides by the sum of the usual rates and of the same mean for absent proxies. Both are 0 if no joined proxy has a rate, and the protocol allows that ("`weight` a rough figure of its requests a second"; only figures below 0 are unusable).

Fix: where no joined proxy has a rate, all count alike, as they do where the rates are equal. Nothing else changes: the recorded bytes of test_platform_bytes.py are the same.

--- a/tests/decisions/test_locality.py
+++ b/tests/decisions/test_locality.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from builders import DRAINING, SECOND, settings_with, start_fleet
+import pytest
+from builders import DRAINING, SECOND, WARM, ControllerHarness, settings_with, start_fleet
 
 
 def test_zone_keeps_its_requests_where_crossing_zones_is_expensive() -> None:
@@ -33,3 +34,26 @@
     assert previous_factor < 0.2
     assert north.remote_factor > 2 * previous_factor
     assert harness.usable_weights(north.number)["h1"] > 2 * previous_factor  # in the same message
+
+
+def test_idle_proxies_count_alike_where_no_joined_proxy_has_a_usual_rate() -> None:
+    """Guards against a crash of a controller that only idle proxies have joined."""
+    harness = ControllerHarness(settings_with(fleet__cross_zone_price=0.08))
+    harness.receive_endpoint_list({f"h{k}": WARM for k in range(8)})
+    for proxy in range(3):
+        harness.join_proxy(proxy, rate_per_second=0.0)
+    harness.flush()
+    harness.receive_endpoint_list({"h7": (DRAINING, 0)}, is_complete=False)
+    harness.flush()
+    harness.advance(5 * SECOND)
+    assert harness.runtime.excluded == {"h7": True}
+    factors = {table.zone: table.remote_factor for table in harness.controller.fleet.tables}
+    equal_rates = ControllerHarness(settings_with(fleet__cross_zone_price=0.08))
+    equal_rates.receive_endpoint_list({f"h{k}": WARM for k in range(7)})
+    for proxy in range(3):
+        equal_rates.join_proxy(proxy, rate_per_second=7.0)
+    equal_rates.flush()
+    equal_rates.advance(5 * SECOND)
+    assert factors == pytest.approx(
+        {table.zone: table.remote_factor for table in equal_rates.controller.fleet.tables}
+    )
--- a/willowhook/decisions/locality.py
+++ b/willowhook/decisions/locality.py
@@ -50,9 +50,16 @@
         return local, remote
 
     def _demand_fraction(self, zone: str) -> float:
-        """Returns the share of all requests at the proxies of a zone; absent proxies count as average."""
+        """Returns the share of all requests at the proxies of a zone; absent proxies count as average.
+
+        All proxies count alike if no joined one has a usual rate: an idle proxy states 0.
+        """
         sessions = self._fleet.proxies.values()
-        rates = [session.usual_rate_per_second for session in sessions] or [1.0]
-        absent = self._fleet.absent_proxies * sum(rates) / len(rates)
-        local = sum(session.usual_rate_per_second for session in sessions if session.zone == zone)
-        return (local + absent / len(self._fleet.settings.zones)) / (sum(rates) + absent)
+        are_all_idle = not any(session.usual_rate_per_second for session in sessions)
+        rates = [
+            (session.zone, 1.0 if are_all_idle else session.usual_rate_per_second) for session in sessions
+        ]
+        total = sum(rate for _, rate in rates) or 1.0
+        absent = self._fleet.absent_proxies * total / max(len(rates), 1)
+        local = sum(rate for proxy_zone, rate in rates if proxy_zone == zone)
+        return (local + absent / len(self._fleet.settings.zones)) / (total + absent)
