Admission: a median latency of 0 counts as in time, and does not crash the controller

What callers would see: a controller ends with exit code 4 when the median of the endpoints' mean latencies is 0. The protocol accepts a mean time of 0, and one of under 0.05 ms is rounded to it.

Cause: AdmissionController._reduction_factor divides by the latency as a share of the objective.

Fix: the share counts as the ratio above which responses are late, if it is lower; there the factor is 1, as before. For all other latencies the same division is made, so no figure changes.

Evidence: test_latency_of_zero_counts_as_in_time failed before with ZeroDivisionError, idle and loaded; test_platform_bytes passes with its record as it is.

--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -34,6 +34,19 @@
     )
 
 
+@pytest.mark.parametrize("cpu_utilization", [0.5, 1.0])
+def test_latency_of_zero_counts_as_in_time(cpu_utilization: float) -> None:
+    """Guards against a crash when most endpoints answer faster than the unit of the reported latency."""
+    harness = start_fleet()
+    for _ in range(12):
+        for k in range(8):
+            harness.report_endpoint(f"h{k}", 20, 0, 0.0, cpu_utilization=cpu_utilization)
+        for proxy in range(4):
+            harness.report_requests(proxy, "read", 10)
+        harness.advance(SECOND)
+    assert harness.controller.admission.is_shedding == (cpu_utilization == 1.0)
+
+
 def test_admission_limits_are_kept_without_reports() -> None:
     harness = start_fleet()
     for second in range(14):
--- a/willowhook/decisions/admission.py
+++ b/willowhook/decisions/admission.py
@@ -151,7 +151,8 @@
         """Returns the factor, at most 1, by which latency and failures reduce the admitted fraction."""
         if self.is_shedding and sample.projected_utilization <= IDLE_UTILIZATION:
             return 1.0  # the late and failed requests date from before load was shed
-        return success_fraction * min(1.0, HIGH_LATENCY_RATIO / sample.latency_fraction)
+        late_fraction = max(sample.latency_fraction, HIGH_LATENCY_RATIO)  # the latency itself may be 0
+        return success_fraction * (HIGH_LATENCY_RATIO / late_fraction)
 
     def _shed(self, now: int, sample: LoadSample, success_fraction: float, feedback_ticks: int) -> None:
         utilization_factor = min(1.0, TARGET_UTILIZATION / sample.projected_utilization)
