Report sums: a success is passed on only when one was reported in full, with its latency

Cause: ReportSums._flush_one rounded attempts and failures down apart. With 1.0 attempts and 0.6 failures pending it passed on one attempt and no failure, so a success that nobody had reported, with a mean latency of 0, as 0.4 successes are too few for a mean.

Fix: whole successes and whole failures are passed on, each without its remainder. The mean is of successes that were reported. Up to two attempts of an endpoint and zone are pending now, where it was one; sums and remainders stay exact.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -22,7 +22,13 @@
 from willowhook.reports.queue import ReportQueue
 from willowhook.reports.read import MAX_ENDPOINTS, Report, read_report
 from willowhook.reports.sample import sum_sample
-from willowhook.reports.sums import ReportCells, ReportedAttempts, ReportSums, combine_reports
+from willowhook.reports.sums import (
+    FlushedSums,
+    ReportCells,
+    ReportedAttempts,
+    ReportSums,
+    combine_reports,
+)
 from willowhook.reports.windows import CLOCK_RESET_TICKS, RETENTION_TICKS, ReportWindows
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.xds import forms
@@ -74,6 +80,27 @@
         assert abs(handed_over[0] / 1e6 / 2 ** (-age / HALF) - 1) < 0.001
 
 
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.floats(0.0, 3.0), st.floats(0.0, 1.0)), min_size=1, max_size=12))
+def test_each_success_that_is_handed_over_has_a_latency(reports: list[tuple[float, float]]) -> None:
+    """Guards against a mean latency of 0, with which all latencies seem to be within the objective."""
+    latency_ticks = 500
+    handed_over: list[FlushedSums] = []
+    sums = ReportSums(HALF, handed_over.append)
+    for attempts, failure_fraction in reports:
+        failures = attempts * failure_fraction
+        cell = ReportedAttempts(attempts, failures, (attempts - failures) * latency_ticks, 0.0)
+        sums.add(HALF, "z", HALF - 100, HALF, {("h", "r"): cell}, {})
+        sums.flush()
+    for flushed in handed_over:
+        if flushed.attempts > flushed.failures:
+            assert abs(flushed.mean_latency_ticks - latency_ticks) <= len(reports)
+        assert 0 <= flushed.failures <= flushed.attempts and flushed.attempts
+    reported = sum(attempts for attempts, _ in reports)
+    passed_on = sum(flushed.attempts for flushed in handed_over)
+    assert reported - 2 < passed_on <= reported + 1e-6
+
+
 # ReportWindows.
 
 
--- a/willowhook/reports/sums.py
+++ b/willowhook/reports/sums.py
@@ -22,7 +22,6 @@
 STANDARD_ERRORS = 1.96  # half width of a 95 % confidence interval
 ROUNDING = 1e-9  # a count that is below a whole number by no more than this counts as that number
 MAX_PENDING = 50_000  # pairs of endpoint and zone; above it, pairs with too few attempts are dropped
-MIN_SUCCESSES = 0.5  # to compute a mean latency
 MIN_PENDING_ATTEMPTS = 0.5  # to be kept above MAX_PENDING
 
 
@@ -107,7 +106,7 @@
         zone: the zone of the proxies that reported.
         attempts: the number of attempts that ended.
         failures: the number of failures among them.
-        mean_latency_ticks: the mean latency of the attempts that succeeded; 0 if too few succeeded.
+        mean_latency_ticks: the mean latency of the attempts that succeeded; 0 if none succeeded.
         window_ticks: the longest time that one report covered.
         load: the latest load metrics, by name.
     """
@@ -233,26 +232,30 @@
         return pending
 
     def _flush_one(self, endpoint: str, zone: str, pending: _PendingSums) -> int:
-        attempts = int(pending.attempts + ROUNDING)
-        failures = min(int(pending.failures + ROUNDING), attempts)
-        if not attempts:
+        """Passes on the whole successes and the whole failures, each without its remainder.
+
+        A success is passed on only when one has been reported in full, so that it has a latency.
+        """
+        pending_successes = pending.attempts - pending.failures
+        successes = max(int(pending_successes + ROUNDING), 0)
+        failures = int(pending.failures + ROUNDING)
+        if not successes + failures:
             return 0
-        successes = pending.attempts - pending.failures
-        mean_latency = round(pending.latency_sum / successes) if successes > MIN_SUCCESSES else 0
+        mean_latency = round(pending.latency_sum / pending_successes) if successes else 0
         self._hand_over(
             FlushedSums(
                 endpoint=endpoint,
                 zone=zone,
-                attempts=attempts,
+                attempts=successes + failures,
                 failures=failures,
                 mean_latency_ticks=mean_latency,
                 window_ticks=pending.window,
                 load=pending.load,
             )
         )
-        pending.attempts -= attempts
+        pending.attempts -= successes + failures
         pending.failures -= failures
-        pending.latency_sum = max(0.0, pending.latency_sum - mean_latency * (attempts - failures))
+        pending.latency_sum = max(0.0, pending.latency_sum - mean_latency * successes)
         pending.window = 0
         pending.load = {}
         return 1
