Settings: a rate of next to 0, or a time that rounds to 0 ticks, is refused

Cause: read_positive_number took any number over 0, and a time was rounded to ticks after that check.

Fix: 1e-06 is the least number, one tick the least time; the error names key, bound and value. 0 has the message that it had.

Evidence: test_rate_or_objective_that_rounds_to_0_is_rejected_by_key failed before (accepted). tests/test_settings_codec.py passes.

--- a/tests/test_settings_codec.py
+++ b/tests/test_settings_codec.py
@@ -195,6 +195,20 @@
         decode_settings(document_with(path, 0))
 
 
+@pytest.mark.parametrize(
+    ("path", "least"),
+    [
+        ((*ROUTE, "aim"), "0.0001 seconds"),
+        ((*ROUTE, "deadline"), "0.0001 seconds"),
+        (("extra", "egress-per-s"), "1e-06"),
+    ],
+)
+def test_rate_or_objective_that_rounds_to_0_is_rejected_by_key(path: Path, least: str) -> None:
+    """Guards against a division by an objective of 0 ticks, and infinite quotients."""
+    with pytest.raises(SettingsError, match=f"^{path[-1]}: expected at least {least}, got "):
+        decode_settings(document_with(path, 2e-6 if "seconds" in least else 1e-300))
+
+
 @pytest.mark.parametrize(
     "path", [("zones",), (*ROUTE, "only-zones"), (*ROUTE, "only-kinds"), ("load-info", "fields")]
 )
--- a/willowhook/settings_fields.py
+++ b/willowhook/settings_fields.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 from .errors import WillowhookError
-from .ticks import ticks_from_seconds
+from .ticks import TICKS_PER_SECOND, ticks_from_seconds
 
 MAX_NUMBER = 1e12  # no setting is larger; ticks and their products stay exact integers
+MIN_POSITIVE_NUMBER = 1e-6  # no setting that has to be over 0 is smaller; its quotients stay finite
 MAX_SHOWN_CHARACTERS = 60  # of a value, in an error message
 
 Document = Mapping[str, Any]  # a decoded JSON object
@@ -97,10 +98,12 @@
 
 
 def read_positive_number(document: Document, key: str) -> float:
-    """Reads a required finite number over 0. Raises SettingsError."""
+    """Reads a required number over 0, of at least MIN_POSITIVE_NUMBER. Raises SettingsError."""
     number = read_number(document, key)
     if number <= 0:
         raise _unexpected(key, "a number over 0", document[key])
+    if number < MIN_POSITIVE_NUMBER:
+        raise _unexpected(key, f"at least {MIN_POSITIVE_NUMBER:g}", document[key])
     return number
 
 
@@ -118,8 +121,11 @@
 
 
 def read_positive_ticks(document: Document, key: str) -> int:
-    """Reads a required time over 0 seconds and converts it to ticks. Raises SettingsError."""
-    return ticks_from_seconds(read_positive_number(document, key))
+    """Reads a required time of at least one tick, in seconds. Returns it in ticks. Raises SettingsError."""
+    ticks = ticks_from_seconds(read_positive_number(document, key))
+    if ticks == 0:
+        raise _unexpected(key, f"at least {1 / TICKS_PER_SECOND:g} seconds", document[key])
+    return ticks
 
 
 def _required(document: Document, key: str) -> Any:
