Exclusions: a drain grace of 0 sends them at once, and does not crash the controller

What operators would see: with `drain-grace` 0, which the settings allow, the first evaluation ends the controller: the longest wait of no exclusions is compared as 0 with a limit of 0, and then asked for (ValueError); a long queue divides by the grace (ZeroDivisionError).

Fix: late means that one waits; the batch interval is compared, not divided by. For all other graces the same comparisons hold.

Evidence: test_exclusions_without_a_drain_grace_are_sent_at_once failed before; test_platform_bytes passes with its record as it is.

--- a/tests/decisions/test_exclusions.py
+++ b/tests/decisions/test_exclusions.py
@@ -104,3 +104,18 @@
         harness.flush()
         harness.advance(6 * SECOND)
     assert not [line for line in harness.runtime.log_lines if line.startswith("exclusions late")]
+
+
+def test_exclusions_without_a_drain_grace_are_sent_at_once() -> None:
+    """Guards against a crash with a drain grace of 0, which settings may state."""
+    harness = start_fleet(settings_with(rules__drain_grace_ticks=0))
+    harness.advance(2 * SECOND)
+    assert not [line for line in harness.runtime.log_lines if line.startswith("exclusions late")]
+    harness.receive_endpoint_list({f"h{k}": (DRAINING, 0) for k in range(3)}, is_complete=False)
+    harness.flush()
+    harness.advance(SECOND)
+    assert [name for name, is_excluded in harness.runtime.excluded.items() if is_excluded] == [
+        "h0",
+        "h1",
+        "h2",
+    ]
--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -59,6 +59,7 @@
         grace_ticks = context.settings.rules.drain_grace_ticks
         self._urgent_after_ticks = urgent_after_ticks(grace_ticks, context.settings.channel)
         self._late_after_ticks = grace_ticks // LATE_DIVISOR
+        self._batch_interval_ticks = grace_ticks / EXCLUSION_BATCH_DIVISOR
         self._has_logged_late = False
         self._changed: dict[str, int] = {}  # time of change of endpoints to check
 
@@ -79,7 +80,7 @@
         waits = [
             now - self._changed[endpoint.name] for endpoint in self._due_changes() if not endpoint.is_excluded
         ]
-        is_late = max(waits, default=0) >= self._late_after_ticks
+        is_late = bool(waits) and max(waits) >= self._late_after_ticks
         if is_late and not self._has_logged_late:
             self._runtime.log(
                 f"exclusions late endpoints={len(waits)} oldest_ms={max(waits) // TICKS_PER_MILLISECOND} "
@@ -154,16 +155,14 @@
         """Whether exclusions wait to be batched, as the overhead of a message costs more than one entry."""
         waiting = [endpoint for endpoint in due if not endpoint.is_excluded]
         age_ticks = max((now - self._changed[endpoint.name] for endpoint in waiting), default=0)
-        elapsed_intervals = (
-            age_ticks * EXCLUSION_BATCH_DIVISOR // self._fleet.settings.rules.drain_grace_ticks
-        )
-        if elapsed_intervals < 1:
+        if age_ticks < self._batch_interval_ticks:
             return True
         if self._fits(self._cost_at_most(waiting)):
             return False
         # no single exclusions while the queue drains: a message should carry as many entries as its overhead
         worth_a_message = waiting[: self._channel.overhead_entries]
-        return elapsed_intervals < MAX_BATCH_INTERVALS or not self._fits(self._cost_at_most(worth_a_message))
+        may_wait = age_ticks < MAX_BATCH_INTERVALS * self._batch_interval_ticks
+        return may_wait or not self._fits(self._cost_at_most(worth_a_message))
 
     def _cost_at_most(self, endpoints: list[Endpoint]) -> int:
         """Returns the maximum cost of excluding all of these at the proxies that may use them."""
