Slow start: an endpoint whose clock is ahead does not warm up where nothing does

What callers would see: without a slow-start time (`cold` left out or 0), an endpoint that is listed with a start in the future crashes the controller with ZeroDivisionError.

Cause: is_warming_up compared a negative age with the slow-start time of 0, and weight_fraction divided by it.

Fix: the age is 0 at the least in both places.

--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -6,6 +6,7 @@
 from builders import IN_SERVICE, SECOND, add_endpoint, make_context, settings_with, start_fleet
 
 from willowhook.decisions.events import HealthCheckCompleted, HealthCheckOutcome
+from willowhook.decisions.model import Endpoint
 from willowhook.decisions.settings import LoadSource
 from willowhook.decisions.slow_start import SlowStart
 
@@ -88,3 +89,13 @@
     endpoint = add_endpoint(context, "h0", started_at=28 * SECOND)
     assert slow_start.weight_fraction(28 * SECOND - 1, endpoint) == held_fraction
     assert slow_start.weight_fraction(28 * SECOND, endpoint) == 0.25
+
+
+def test_endpoint_whose_clock_is_ahead_has_its_whole_weight_where_nothing_warms_up() -> None:
+    """Guards against a division by a slow-start time of 0."""
+    context = make_context(settings_with(rules__slow_start_ticks=0))
+    endpoint = Endpoint("h0", SECOND)
+    endpoint.started_at = 2 * SECOND
+    slow_start = SlowStart(context)
+    assert not slow_start.is_warming_up(SECOND, endpoint)
+    assert slow_start.weight_fraction(SECOND, endpoint) == 1.0
--- a/willowhook/decisions/slow_start.py
+++ b/willowhook/decisions/slow_start.py
@@ -31,7 +31,7 @@
 
     def is_warming_up(self, now: int, endpoint: Endpoint) -> bool:
         """Whether an endpoint started less than the slow-start time ago."""
-        return endpoint.started_at > 0 and now - endpoint.started_at < self._rules.slow_start_ticks
+        return endpoint.started_at > 0 and self._age(now, endpoint) < self._rules.slow_start_ticks
 
     def weight_fraction(self, now: int, endpoint: Endpoint) -> float:
         """Returns the share of its weight that an endpoint may have now, from 0 to 1."""
@@ -40,5 +40,10 @@
         if self._conditions.success_fraction <= HOLD_SUCCESS_FRACTION or now < self._held_until:
             return 0.0
         initial_fraction = self._rules.slow_start_fraction
-        age = max(now - endpoint.started_at, 0)
-        return initial_fraction + (1 - initial_fraction) * (age / self._rules.slow_start_ticks)
+        age_fraction = self._age(now, endpoint) / self._rules.slow_start_ticks
+        return initial_fraction + (1 - initial_fraction) * age_fraction
+
+    @staticmethod
+    def _age(now: int, endpoint: Endpoint) -> int:
+        """Returns the ticks since an endpoint started; 0 if its clock is ahead."""
+        return max(now - endpoint.started_at, 0)
