Weights: endpoints listed with a weight of 0 or next to 0 crash nothing

The last was not met by a test, but follows from the same figures.

Fix: no weight, no mean, so the utilization counts as not reported; a ratio that is not finite counts like an entry that comes or goes; a product of 0 leaves the remote factor at 1.

--- a/willowhook/decisions/load.py
+++ b/willowhook/decisions/load.py
@@ -130,9 +130,10 @@
             if endpoint.has_recent_utilization(now, MAX_LOAD_AGE_TICKS)
             and self._fleet.is_eligible(table, endpoint)
         ]
-        if weighted_utilizations:
+        total_weight = sum(weight for _, weight in weighted_utilizations)
+        if total_weight:  # a listed weight may be 0
             busy_weight = sum(utilization * weight for utilization, weight in weighted_utilizations)
-            return max(busy_weight / sum(weight for _, weight in weighted_utilizations), MIN_UTILIZATION)
+            return max(busy_weight / total_weight, MIN_UTILIZATION)
         nothing_reports = self._fleet.settings.fleet.load_source is LoadSource.NONE
         return HIGH_UTILIZATION if nothing_reports else IDLE_UTILIZATION
 
--- a/willowhook/decisions/locality.py
+++ b/willowhook/decisions/locality.py
@@ -36,7 +36,8 @@
             return
         demand = max(self._demand_fraction(table.zone), MIN_ZONE_DEMAND_FRACTION)
         kept = min(MAX_KEPT_FRACTION, local / (local + remote) / demand)
-        table.remote_factor = min(1.0, local * (1 - kept) / (kept * remote))
+        if kept * remote > 0:  # 0 by underflow if the local endpoints have next to no capacity
+            table.remote_factor = min(1.0, local * (1 - kept) / (kept * remote))
 
     def _capacity_by_side(self, now: int, table: EndpointTable) -> tuple[float, float]:
         """Returns the total weight of the endpoints in the zone of the table, and of all others."""
--- a/willowhook/decisions/table_updates.py
+++ b/willowhook/decisions/table_updates.py
@@ -210,7 +210,11 @@
 
 
 def _distance(old: float, new: float) -> float:
-    """Returns the absolute logarithm of the ratio of two weights."""
-    if new and old:
-        return abs(math.log(new / old))
-    return MEMBERSHIP_CHANGE_DISTANCE if new or old else 0.0
+    """Returns the absolute logarithm of the ratio of two weights.
+
+    Returns MEMBERSHIP_CHANGE_DISTANCE if one of them is 0, or if the ratio is 0 or infinite by rounding.
+    """
+    if new == old:
+        return 0.0
+    ratio = new / old if old else 0.0
+    return abs(math.log(ratio)) if 0 < ratio < math.inf else MEMBERSHIP_CHANGE_DISTANCE
