Readmissions: endpoints listed after the bind, or again after they were dropped, are open again

Cause: a readmission is sent for an endpoint that this very process excluded, or with a bind for one that is listed then. What is first listed later was held to be new everywhere; but an earlier process may have excluded it and removed it from the list before this one started. The same holds for an endpoint that returns after this process dropped it, 30 s after its exclusion.

Fix: that exception stays for binds. Endpoints first listed since the start are readmitted, once the queue is short, at the proxies that came from another controller and are bound; those that were dropped here at all proxies, of up to 10,000 names. Before the bind a proxy may have a weight from before the restart, so it waits for that. The endpoint warms up meanwhile, so rule 1 asks for it seconds later only.

Cost: one entry for each proxy from another controller and endpoint first listed since the start, after the binds; a bind itself costs what it did (320 proxies and 200 endpoints: 1 to 200 entries for each table as before, no more readmissions in it). If 100 endpoints are replaced meanwhile it is 32,000 entries more, beside 32,000 of their weights, while the queue is short.

Open: a proxy that was with no controller for longer than the slow-start time after the return of an endpoint that is listed at its bind.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -87,6 +87,7 @@
         total_entries: the entries ever put into the channel.
         health_checks: the endpoints for which a health check was requested.
         excluded_for_proxy: the endpoints excluded for one proxy only, by proxy.
+        readmitted_for_proxy: the endpoints readmitted for one proxy only, by proxy.
         sync_marker: the marker of the next messages; -1: none yet.
         ended_sessions: the proxies whose session was ended, in order.
     """
@@ -111,6 +112,7 @@
     total_entries: float = 0.0
     health_checks: list[str] = field(default_factory=list)
     excluded_for_proxy: dict[int, list[str]] = field(default_factory=dict)
+    readmitted_for_proxy: dict[int, list[str]] = field(default_factory=dict)
     sync_marker: int = -1
     ended_sessions: list[int] = field(default_factory=list)
 
@@ -156,6 +158,7 @@
 
     def readmit_for_proxy(self, proxy: int, endpoints: Sequence[str]) -> None:
         assert self.settings.exclusions_outlive_sessions and proxy in self.joined_proxies
+        self.readmitted_for_proxy.setdefault(proxy, []).extend(endpoints)
         self._charge([proxy], len(endpoints))
 
     def end_session(self, proxy: int) -> None:
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -115,7 +115,7 @@
             context, self.pending_binds, self._slow_start, self._weights, self.updater
         )
         self._reminders = ExclusionReminders(context, self.pending_binds, self.subsets, self.exclusions)
-        self._endpoint_list = EndpointListTracker(context, self.exclusions)
+        self._endpoint_list = EndpointListTracker(context, self.exclusions, self._readmissions)
         self._pacer = UpdatePacer(context)
         self._updates = UpdateSequence(
             context,
@@ -124,6 +124,7 @@
             self._binder,
             self.exclusions,
             self._reminders,
+            self._readmissions,
             self.updater,
             self.admission,
             self._locality,
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -9,6 +9,7 @@
 from .events import EndpointEntry, EndpointListReceived, EndpointState
 from .exclusions import EndpointExclusions
 from .model import RECENT_BUCKETS, Endpoint
+from .readmissions import SessionReadmissions
 from .timing import MIN_LIST_PAUSE_TICKS, max_list_pause_ticks
 
 INITIAL_LATENCY_FACTOR = 0.5  # latency factor of a newly started endpoint
@@ -21,11 +22,14 @@
 class EndpointListTracker:
     """Applies endpoint lists and requests them from service discovery."""
 
-    def __init__(self, context: ControllerContext, exclusions: EndpointExclusions) -> None:
+    def __init__(
+        self, context: ControllerContext, exclusions: EndpointExclusions, readmissions: SessionReadmissions
+    ) -> None:
         self._fleet = context.fleet
         self._runtime = context.runtime
         self._random_fraction = context.random_fraction
         self._exclusions = exclusions
+        self._readmissions = readmissions
         self._bucket_ticks = context.bucket_ticks
         self._rules = context.settings.rules
         self._received_lists = 0
@@ -91,6 +95,7 @@
         for name in removed:
             del self._fleet.endpoints[name]
             self._exclusions.forget_endpoint(name)
+            self._readmissions.drop_endpoint(name)
             self._runtime.forget_endpoint(name)
 
     def _schedule_watch(self, now: int, delay_ticks: int) -> None:
@@ -109,6 +114,7 @@
             endpoint = Endpoint(entry.name, self._bucket_ticks)
             endpoint.is_new = self._received_lists > INITIAL_LISTS
             self._fleet.endpoints[entry.name] = endpoint
+            self._readmissions.add_endpoint(entry.name)
         if entry.started_at != endpoint.started_at and now - entry.started_at < self._rules.slow_start_ticks:
             self._reset_after_restart(endpoint, entry)
         if self._fleet.settings.lists_capacity:
--- a/willowhook/decisions/update_sequence.py
+++ b/willowhook/decisions/update_sequence.py
@@ -1,8 +1,9 @@
 """The order of updates in one flush: updates that keep the rules first, then binds, then table updates.
 
 The order is: binds of a join burst to subsets, exclusions, readmissions, reminders, tables without a usable
-endpoint, binds, table updates, the end of a join burst. Binds and table updates wait while exclusions are
-pending. With a message cap most updates are spaced; those that keep the rules do not wait for the spacing.
+endpoint, binds, readmissions that waited for a short queue, table updates, the end of a join burst. Binds
+and table updates wait while exclusions are pending. With a message cap most updates are spaced; those that
+keep the rules do not wait for the spacing.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from .pacing import UpdatePacer
 from .pending_binds import PendingBinds
 from .queue_limits import SHORT_QUEUE_FRACTION
+from .readmissions import SessionReadmissions
 from .reminders import ExclusionReminders
 from .table_updates import TableUpdater
 
@@ -30,6 +32,7 @@
         binder: ProxyBinder,
         exclusions: EndpointExclusions,
         reminders: ExclusionReminders,
+        readmissions: SessionReadmissions,
         updater: TableUpdater,
         admission: AdmissionController,
         locality: LocalitySpillover,
@@ -43,6 +46,7 @@
         self._binder = binder
         self._exclusions = exclusions
         self._reminders = reminders
+        self._readmissions = readmissions
         self._updater = updater
         self._admission = admission
         self._locality = locality
@@ -114,6 +118,7 @@
         # also wait for acknowledgements: the queue estimate shows a slow channel only with delay
         if not (is_broadcast or are_updates_due) or self._channel.unproven_entries() >= table_limit:
             return
+        self._readmissions.send_pending(short_queue_limit)  # first: weights may fill the queue for long
         has_changes = self._updater.update(now, self._fleet.tables, table_limit)
         self._updater.has_changes = has_changes
         self._pacer.record_table_updates(now, self._channel.queue_estimate() - queue_before, has_changes)
