Readmissions: an endpoint first listed since the start is readmitted with its next weight

Its readmissions left as soon as the queue was short, in messages of their own: eight entries for a proxy and one endpoint, where one is needed.

Change: the readmission joins the message of the endpoint's next weight, for one entry (TableUpdater.set_weight). An endpoint without a new weight is readmitted alone after a third of the slow-start time, while the queue is short.

Evidence: two more tests, of the message and of the wait; nine in tests/decisions/test_readmissions.py. tests/decisions, test_platform_proxy_updates, test_platform_bytes (record as it is) and test_simulator: 215 passed.

--- a/tests/decisions/test_readmissions.py
+++ b/tests/decisions/test_readmissions.py
@@ -54,6 +54,36 @@
     assert harness.runtime.readmitted_for_proxy == {1: ["h9"], 3: ["h9"]}
 
 
+def test_readmission_goes_in_the_message_of_the_weight_and_costs_one_entry() -> None:
+    harness = start_after_another_controller()
+    messages: list[dict[int, int]] = []
+    send_messages = harness.runtime.send_messages
+
+    def record_and_send() -> None:
+        messages.append(dict(harness.runtime.pending_entries))
+        send_messages()
+
+    harness.runtime.send_messages = record_and_send  # type: ignore[method-assign]
+    harness.receive_endpoint_list({"h9": (IN_SERVICE, harness.now)}, is_complete=False)
+    harness.flush()
+    while not harness.runtime.readmitted_for_proxy:
+        report_and_advance(harness, 1)
+        assert harness.now < 60 * SECOND
+    (entries,) = [each for each in messages if len(set(each.values())) > 1]
+    assert entries[1] == entries[0] + 1 and entries[3] == entries[2] + 1
+
+
+def test_endpoint_without_a_weight_is_readmitted_after_a_third_of_slow_start() -> None:
+    harness = start_after_another_controller()
+    harness.controller.updater.update = lambda *_: False  # type: ignore[method-assign]
+    harness.receive_endpoint_list({"h9": (IN_SERVICE, harness.now)}, is_complete=False)
+    harness.flush()
+    report_and_advance(harness, 4)
+    assert not harness.runtime.readmitted_for_proxy
+    report_and_advance(harness, 2)
+    assert harness.runtime.readmitted_for_proxy == {1: ["h9"], 3: ["h9"]}
+
+
 def test_endpoint_first_listed_before_the_bind_is_readmitted_after_it() -> None:
     harness = start_after_another_controller()
     harness.receive_endpoint_list({"h9": (IN_SERVICE, harness.now)}, is_complete=False)
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -105,9 +105,11 @@
         self._weights = EndpointWeights(context, self._slow_start, self._partitions)
         self.solver = WeightSolver(context, self._slow_start)
         self._locality = LocalitySpillover(context, self.admission, self._weights)
-        self.updater = TableUpdater(context, self._weights, self._locality, self.admission, self._demand)
-        self.subsets = SubsetAssigner(context, self._weights)
         self._readmissions = SessionReadmissions(context)
+        self.updater = TableUpdater(
+            context, self._weights, self._locality, self.admission, self._demand, self._readmissions
+        )
+        self.subsets = SubsetAssigner(context, self._weights)
         self._binder = ProxyBinder(
             context, self.pending_binds, self._readmissions, self.subsets, self.updater
         )
@@ -254,7 +256,7 @@
         self.channel.add_proxy(proxy)
         self._reminders.add_proxy(now, proxy)
         if not event.is_fresh:
-            self._readmissions.add_proxy(proxy)
+            self._readmissions.add_proxy(now, proxy)
         self.pending_binds.add(now, proxy, event.usual_rate_per_second, event.is_fresh)
         self.subsets.add_proxy(proxy)
 
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -114,7 +114,7 @@
             endpoint = Endpoint(entry.name, self._bucket_ticks)
             endpoint.is_new = self._received_lists > INITIAL_LISTS
             self._fleet.endpoints[entry.name] = endpoint
-            self._readmissions.add_endpoint(entry.name)
+            self._readmissions.add_endpoint(now, entry.name)
         if entry.started_at != endpoint.started_at and now - entry.started_at < self._rules.slow_start_ticks:
             self._reset_after_restart(endpoint, entry)
         if self._fleet.settings.lists_capacity:
--- a/willowhook/decisions/table_updates.py
+++ b/willowhook/decisions/table_updates.py
@@ -18,6 +18,7 @@
 from .demand import RequestDemand
 from .locality import LocalitySpillover
 from .model import EndpointTable
+from .readmissions import SessionReadmissions
 from .runtime import AdmissionLimit
 from .update_cost import UPDATE_ENTRIES
 from .weights import EndpointWeights
@@ -84,6 +85,7 @@
         locality: LocalitySpillover,
         admission: AdmissionController,
         demand: RequestDemand,
+        readmissions: SessionReadmissions,
     ) -> None:
         self._fleet = context.fleet
         self._runtime = context.runtime
@@ -92,6 +94,7 @@
         self._locality = locality
         self._admission = admission
         self._demand = demand
+        self._readmissions = readmissions
         self._resend_at = 0
         self.has_changes = True
 
@@ -135,6 +138,7 @@
         table.entries.pop(endpoint, None)
         if weight > 0:
             table.entries[endpoint] = weight
+            self._readmissions.join_weight(users, endpoint)
 
     def _send_limits(self, table: EndpointTable, users: list[int], fractions: list[float]) -> None:
         for route, admission in self._admission.limits(table, fractions).items():
--- a/willowhook/decisions/update_sequence.py
+++ b/willowhook/decisions/update_sequence.py
@@ -1,7 +1,7 @@
 """The order of updates in one flush: updates that keep the rules first, then binds, then table updates.
 
 The order is: binds of a join burst to subsets, exclusions, readmissions, reminders, tables without a usable
-endpoint, binds, readmissions that waited for a short queue, table updates, the end of a join burst. Binds
+endpoint, binds, readmissions that wait for long, table updates, the end of a join burst. Binds
 and table updates wait while exclusions are pending. With a message cap most updates are spaced; those that
 keep the rules do not wait for the spacing.
 """
@@ -118,7 +118,7 @@
         # also wait for acknowledgements: the queue estimate shows a slow channel only with delay
         if not (is_broadcast or are_updates_due) or self._channel.unproven_entries() >= table_limit:
             return
-        self._readmissions.send_pending(short_queue_limit)  # first: weights may fill the queue for long
+        self._readmissions.send_overdue(now, short_queue_limit)  # first, as weights may fill the queue
         has_changes = self._updater.update(now, self._fleet.tables, table_limit)
         self._updater.has_changes = has_changes
         self._pacer.record_table_updates(now, self._channel.queue_estimate() - queue_before, has_changes)
