Decisions: requests for the endpoint list are a module of their own

EndpointListTracker applied lists and also kept the backoff, the timers and the refetch interval. No decision changes.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -11,8 +11,8 @@
 import trio
 
 from willowhook.decisions.binding import ProxyBinder
-from willowhook.decisions.endpoint_list import EndpointListTracker
 from willowhook.decisions.exclusions import EndpointExclusions
+from willowhook.decisions.list_requests import ListRequests
 from willowhook.decisions.message_cap import MessageCap
 from willowhook.decisions.pacing import UpdatePacer
 from willowhook.decisions.slow_start import SlowStart
@@ -103,12 +103,12 @@
 
 
 def _pause_after_losses() -> None:
-    schedule_watch = EndpointListTracker._schedule_watch
+    schedule_watch = ListRequests._schedule_watch
 
-    def schedule_later(self: EndpointListTracker, now: int, _delay_ticks: int) -> None:
+    def schedule_later(self: ListRequests, now: int, _delay_ticks: int) -> None:
         schedule_watch(self, now, PAUSE_AFTER_LOSS_TICKS)
 
-    patch.object(EndpointListTracker, "_schedule_watch", schedule_later).start()
+    patch.object(ListRequests, "_schedule_watch", schedule_later).start()
 
 
 def _ignore_message_cap() -> None:
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -7,7 +7,7 @@
 | concern                                    | modules                                              |
 | ------------------------------------------ | ---------------------------------------------------- |
 | endpoints, proxies, tables and their users | fleet, model                                         |
-| the endpoint list                          | endpoint_list                                        |
+| the endpoint list                          | endpoint_list, list_requests                         |
 | draining, removed and returning endpoints  | exclusions, reminders, readmissions                  |
 | binding proxies to tables                  | binding, pending_binds, subsets                      |
 | weights                                    | weights, weight_solver, slow_start, locality         |
@@ -45,6 +45,7 @@
 from .exclusions import EndpointExclusions
 from .fleet import FleetState
 from .health_checks import HealthChecks
+from .list_requests import ListRequests
 from .load import LoadEstimator
 from .locality import LocalitySpillover
 from .model import Endpoint, ProxySession
@@ -117,7 +118,10 @@
             context, self.pending_binds, self._slow_start, self._weights, self.updater
         )
         self._reminders = ExclusionReminders(context, self.pending_binds, self.subsets, self.exclusions)
-        self._endpoint_list = EndpointListTracker(context, self.exclusions, self._readmissions)
+        self._list_requests = ListRequests(context)
+        self._endpoint_list = EndpointListTracker(
+            context, self._list_requests, self.exclusions, self._readmissions
+        )
         self._pacer = UpdatePacer(context)
         self._updates = UpdateSequence(
             context,
@@ -175,7 +179,7 @@
             case EndpointListReceived():
                 self._endpoint_list.handle_list(now, event)
             case EndpointListLost():
-                self._endpoint_list.handle_loss(now)
+                self._list_requests.record_loss(now)
             case HealthCheckCompleted():
                 self._health_checks.record(now, event)
             case _:
@@ -183,12 +187,12 @@
 
     def flush(self, now: int) -> None:
         """Issues the commands for a batch of events, in the order of `UpdateSequence`."""
-        self._endpoint_list.watch_if_due(now)
+        self._list_requests.watch_if_due(now)
         self._updates.send(now)
 
     def _handle_timer(self, now: int) -> None:
         """Evaluates, unless the timer was set only to request the list in the next flush."""
-        if not self._endpoint_list.take_timer(now):
+        if not self._list_requests.take_timer(now):
             self._evaluate(now)
 
     def _evaluate(self, now: int) -> None:
@@ -205,7 +209,7 @@
         self._health_checks.send_due(now)
         if self.subsets.end_connection_limit_if_due(now):
             self.pending_binds.rebind_all(now, self.fleet.proxies)
-        self._endpoint_list.refetch_if_due(now)
+        self._list_requests.refetch_if_due(now)
         self._step_weights(now)
         self._end_unresponsive_sessions()
         self._runtime.schedule_evaluation(EVALUATION_INTERVAL_TICKS)
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -1,87 +1,49 @@
-"""Endpoint list handling: applies received lists, rejects implausible removals, and requests lists again."""
+"""Endpoint list handling: applies received lists, and rejects implausible removals."""
 
 from __future__ import annotations
 
-import heapq
-
 from ..ticks import TICKS_PER_SECOND
 from .context import ControllerContext
 from .events import EndpointEntry, EndpointListReceived, EndpointState
 from .exclusions import EndpointExclusions
+from .list_requests import ListRequests
 from .model import RECENT_BUCKETS, Endpoint
 from .readmissions import SessionReadmissions
-from .timing import MIN_LIST_PAUSE_TICKS, max_list_pause_ticks
 
 INITIAL_LATENCY_FACTOR = 0.5  # latency factor of a newly started endpoint
 FORGET_AFTER_TICKS = 30 * TICKS_PER_SECOND  # time after its exclusion when a removed endpoint is dropped
 INITIAL_LISTS = 2  # the saved copy and the first response: their endpoints do not count as new
-REFETCH_DIVISOR = 4  # refetch interval of an implausible list = drain grace / 4
-MIN_JITTER = 0.5  # smallest factor on the backoff; the largest one is 1
 
 
 class EndpointListTracker:
-    """Applies endpoint lists and requests them from service discovery."""
+    """Applies endpoint lists to the endpoints of the fleet."""
 
     def __init__(
-        self, context: ControllerContext, exclusions: EndpointExclusions, readmissions: SessionReadmissions
+        self,
+        context: ControllerContext,
+        requests: ListRequests,
+        exclusions: EndpointExclusions,
+        readmissions: SessionReadmissions,
     ) -> None:
         self._fleet = context.fleet
         self._runtime = context.runtime
-        self._random_fraction = context.random_fraction
+        self._requests = requests
         self._exclusions = exclusions
         self._readmissions = readmissions
         self._bucket_ticks = context.bucket_ticks
         self._rules = context.settings.rules
         self._received_lists = 0
-        self._backoff_ticks = MIN_LIST_PAUSE_TICKS
-        self._logged_backoff_ticks = 0
-        self._watch_at: int | None = context.started_at if context.settings.list_on_request else None
-        self._watch_timers: list[int] = []  # a heap: when the timers are due that were set for a watch
-        self._refetch_at: int | None = None
 
     def handle_list(self, now: int, event: EndpointListReceived) -> None:
         """Applies a complete list, or a set of changes to the list."""
         self._received_lists += 1
-        self._backoff_ticks = MIN_LIST_PAUSE_TICKS
-        self._logged_backoff_ticks = 0
+        self._requests.record_answer()
         for entry in event.entries:
             self._update_endpoint(now, entry)
         if event.is_complete:
-            self._refetch_at = None
+            self._requests.stop_refetching()
             self._remove_missing(now, {entry.name for entry in event.entries})
 
-    def handle_loss(self, now: int) -> None:
-        """Handles a failed request for the list: requests it again after a backoff with jitter.
-
-        Only a pause that is longer than the one before is logged.
-        """
-        if self._backoff_ticks > self._logged_backoff_ticks:
-            self._logged_backoff_ticks = self._backoff_ticks
-            max_wait_seconds = self._backoff_ticks / TICKS_PER_SECOND
-            self._runtime.log(f"endpoint list lost retry_within_seconds={max_wait_seconds:g}")
-        jitter = MIN_JITTER + (1 - MIN_JITTER) * self._random_fraction()
-        self._schedule_watch(now, int(jitter * self._backoff_ticks))
-        self._backoff_ticks = min(2 * self._backoff_ticks, max_list_pause_ticks(self._rules))
-
-    def take_timer(self, now: int) -> bool:
-        """Takes a due timer that was set for a watch; returns False if none is due."""
-        if not self._watch_timers or now < self._watch_timers[0]:
-            return False
-        heapq.heappop(self._watch_timers)
-        return True
-
-    def watch_if_due(self, now: int) -> None:
-        """Requests the list and its later changes if a request is due."""
-        if self._watch_at is not None and self._watch_at <= now:
-            self._runtime.watch_endpoints()
-            self._watch_at = None
-
-    def refetch_if_due(self, now: int) -> None:
-        """Requests the complete list again, at intervals, while the last one was implausible."""
-        if self._refetch_at is not None and now >= self._refetch_at:
-            self._refetch_at = now + self._refetch_ticks
-            self._runtime.fetch_endpoint_list()
-
     def forget_removed(self, now: int) -> None:
         """Drops removed endpoints some time after their exclusion, once no table has an entry for them."""
         removed = [
@@ -98,16 +60,6 @@
             self._readmissions.drop_endpoint(name)
             self._runtime.forget_endpoint(name)
 
-    def _schedule_watch(self, now: int, delay_ticks: int) -> None:
-        """Schedules a watch, and a timer, because a controller without events would be late to notice."""
-        self._watch_at = now + delay_ticks
-        heapq.heappush(self._watch_timers, self._watch_at)
-        self._runtime.schedule_evaluation(delay_ticks)
-
-    @property
-    def _refetch_ticks(self) -> int:
-        return self._rules.drain_grace_ticks // REFETCH_DIVISOR
-
     def _update_endpoint(self, now: int, entry: EndpointEntry) -> None:
         endpoint = self._fleet.endpoints.get(entry.name)
         if endpoint is None:
@@ -154,7 +106,7 @@
             missing = [
                 name for name in missing if name not in sums or sums[name].attempts <= 2 * sums[name].failures
             ]
-            self._refetch_at = now + self._refetch_ticks
+            self._requests.start_refetching(now)
             self._runtime.log(
                 f"endpoint list implausible listed={len(listed)} in_service={len(sums)} "
                 f"removed={len(missing)}"
