--- a/review/4/case.py
+++ b/review/4/case.py
@@ -57,10 +57,13 @@
         await asyncio.sleep(fleet.grace_s + 4)
     finally:
         await fleet.finish()
-    print(f"sends={fleet.sends} violations={len(fleet.violations)} discovery={fleet.discovery.stats}")
-    for text in fleet.violations[:3] + fleet.violations[-2:]:
+    # only the later drain decides: sends to the lost task servers have a cause of their own as well (issue 45 (5))
+    late = [text for text in fleet.violations if f" to {leaving.name}," in text]
+    print(f"sends={fleet.sends} late sends: {len(late)} to the drained task server, "
+          f"{len(fleet.violations) - len(late)} to lost ones; discovery={fleet.discovery.stats}")
+    for text in late[:3] + late[-2:]:
         print(text)
-    return 1 if fleet.violations else 0
+    return 1 if late else 0
 
 
 sys.exit(play(main))
