--- a/tests/test_platform_discovery_watch.py
+++ b/tests/test_platform_discovery_watch.py
@@ -10,6 +10,7 @@
 import trio
 
 from willowhook.platform.address import Address
+from willowhook.platform.discovery_statistics import DiscoveryStatistics
 from willowhook.platform.discovery_watch import DiscoveryWatch
 from willowhook.platform.fields import Fields, MalformedFieldError
 
@@ -171,6 +172,7 @@
         await send_answer(stream, 9)
         await discovery.next_request()
         assert recorder.versions == [8, 9]
+        assert recorder.watch.statistics == DiscoveryStatistics(requests=3, answers=2, losses=0)
 
     run_scenario(scenario)
 
@@ -223,6 +225,7 @@
         recorder.watch.resume()
         target, _ = await discovery.next_request()
         assert "after=7" in target and discovery.connection_count == 2
+        assert recorder.watch.statistics == DiscoveryStatistics(requests=2, answers=0, losses=1)
 
     run_scenario(scenario)
 
--- a/tests/test_platform_status_log.py
+++ b/tests/test_platform_status_log.py
@@ -10,6 +10,7 @@
 from willowhook.decisions.events import EndpointListLost, EndpointListReceived, Event
 from willowhook.decisions.status import ControllerStatus
 from willowhook.platform.discovery_events import DiscoveryEvents
+from willowhook.platform.discovery_statistics import DiscoveryStatistics
 from willowhook.platform.fields import MalformedFieldError
 from willowhook.platform.status_log import ServerStatus, format_status
 
@@ -29,12 +30,14 @@
         longest_flush_ticks=83,
         malformed_messages=2,
         rejected_connections=3,
+        discovery=DiscoveryStatistics(requests=58, answers=5, losses=2),
     )
     line = format_status(status)
     assert re.fullmatch(
         r"status proxies=12 endpoints_in_service=190 endpoints=200 load=0\.62 admitted_fraction=1\.40 "
         r"queue_entries=12 connections=14 memory_mb=\d+ cpu_s=\d+\.\d longest_flush_ms=8 "
-        r"malformed_messages=2 rejected_connections=3",
+        r"malformed_messages=2 rejected_connections=3 "
+        r"discovery_requests=58 discovery_answers=5 discovery_losses=2",
         line,
     )
 
--- a/willowhook/platform/discovery_watch.py
+++ b/willowhook/platform/discovery_watch.py
@@ -8,6 +8,7 @@
 
 from ..web.wire import ClientConnection, ConnectionLostError, Reply, open_connection
 from .address import Address
+from .discovery_statistics import DiscoveryStatistics
 from .endpoint_list import change_request_target, list_request_target
 from .fields import Fields, MalformedFieldError
 from .framing import FramingError, decode_object
@@ -38,10 +39,12 @@
 
     Attributes:
         version: changes after this version are requested; None if the complete list is requested.
+        statistics: counts of the requests.
     """
 
     def __init__(self, address: Address, handle_answer: AnswerHandler, handle_loss: LossHandler) -> None:
         self.version: int | None = None
+        self.statistics = DiscoveryStatistics()
         self._address = address
         self._handle_answer = handle_answer
         self._handle_loss = handle_loss
@@ -82,6 +85,10 @@
         """Sends no more requests until `resume`: the controller has its own backoff."""
         self._resumed = trio.Event()
 
+    def _report_loss(self, reason: str) -> None:
+        self.statistics.losses += 1
+        self._handle_loss(reason)
+
     async def _exchange_once(self) -> None:
         """Sends one request and handles its answer."""
         started_at = trio.current_time()
@@ -94,8 +101,9 @@
         except MalformedFieldError as error:
             self._pause()
             self._wants_complete_list = True
-            self._handle_loss(f"malformed answer: {error}")
+            self._report_loss(f"malformed answer: {error}")
             return
+        self.statistics.answers += 1
         is_unchanged = self.version == version_before
         if is_unchanged and trio.current_time() - started_at < MIN_REQUEST_INTERVAL_S:
             await trio.sleep(MIN_REQUEST_INTERVAL_S)  # the server answered immediately, without changes
@@ -104,6 +112,7 @@
         """Returns the answer to one request; None if there was none, and the loss has been handled."""
         is_complete = self._wants_complete_list or self.version is None
         self._wants_complete_list = False  # if set during this request, it applies to the next one
+        self.statistics.requests += 1
         address = self._address
         answer = None
         try:
@@ -114,7 +123,7 @@
             self._lost_answers += _may_have_lost_answer(error)
             if address == self._address:
                 self._pause()
-                self._handle_loss(_describe_loss(error))
+                self._report_loss(_describe_loss(error))
         else:
             self._lost_answers = 0
         finally:
--- a/willowhook/platform/server.py
+++ b/willowhook/platform/server.py
@@ -102,6 +102,7 @@
             longest_flush_ticks=self._loop.longest_flush_ticks,
             malformed_messages=self._sessions.malformed_count,
             rejected_connections=self._sessions.connections.rejected_count,
+            discovery=self._discovery.statistics,
         )
         self._loop.longest_flush_ticks = 0
         return status
--- a/willowhook/platform/status_log.py
+++ b/willowhook/platform/status_log.py
@@ -10,6 +10,7 @@
 
 from ..decisions.status import ControllerStatus
 from ..ticks import TICKS_PER_MILLISECOND
+from .discovery_statistics import DiscoveryStatistics
 from .runtime import WriteLog
 
 STATUS_INTERVAL_S = 10.0
@@ -26,6 +27,7 @@
         longest_flush_ticks: the longest duration of a flush since the previous status line.
         malformed_messages: number of messages refused since the start.
         rejected_connections: number of connections rejected since the start.
+        discovery: counts of the requests to service discovery since the start.
     """
 
     proxies: int
@@ -34,6 +36,7 @@
     longest_flush_ticks: int
     malformed_messages: int
     rejected_connections: int
+    discovery: DiscoveryStatistics
 
 
 def format_status(status: ServerStatus) -> str:
@@ -55,6 +58,9 @@
         f"longest_flush_ms={status.longest_flush_ticks / TICKS_PER_MILLISECOND:.0f}",
         f"malformed_messages={status.malformed_messages}",
         f"rejected_connections={status.rejected_connections}",
+        f"discovery_requests={status.discovery.requests}",
+        f"discovery_answers={status.discovery.answers}",
+        f"discovery_losses={status.discovery.losses}",
     )
     return " ".join(("status", *figures))
 
