List requests: fetches of the complete list wait for answers, and replace no request

Cause: after an implausible list ListRequests fetched the complete list each drain grace / 4 by the clock, whether the last fetch was answered or not, and DiscoveryWatch cancelled the request in flight for it. A call longer than grace / 4 is never heard, and only a heard list ends the fetches. Fetches were also noticed only at evaluations, up to 0.5 s late.

Fix: a fetch is due a quarter of the grace after the implausible list came, and the next only after a complete list or a loss; a timer of its own ends the pause. A lost fetch is repeated with the watch after its backoff. DiscoveryWatch gives up no request for a fetch: the request before it waits for a change until the fetch is due and no longer, and a fetch in flight is not doubled. The file control plane's reader does not repeat one in flight either. So each call is heard, however long it takes within its time limit (1.2 s), and each answer decides on the next call.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -24,6 +24,7 @@
 
 REPOSITORY = Path(__file__).parent.parent
 SETTINGS = json.loads((Path(__file__).parent / "options.json").read_text())
+MAX_CHANGE_WAIT_S = 1.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 ATTACH = {"t": "attach", "proxy": 0, "zone": "north", "weight": 5.0, "fresh": True}
 
@@ -32,7 +33,7 @@
 
 
 class FakeDiscovery:
-    """A discovery server whose requests for changes wait up to 1 s for one."""
+    """A discovery server whose requests for changes wait for one, up to MAX_CHANGE_WAIT_S."""
 
     def __init__(self) -> None:
         self.version = 1
@@ -50,14 +51,24 @@
             "share": 1.0,
         }
         self.entries[endpoint] = {**entry, "health": health, "born_ms": 0}
+        self._publish()
+
+    def remove_entries(self, *endpoints: str) -> None:
+        for endpoint in endpoints:
+            del self.entries[endpoint]
+        self._publish()
+
+    def _publish(self) -> None:
         self.version += 1
         self.changed.set()
         self.changed = trio.Event()
 
     async def answer(self, request: Call) -> Reply:
         self.request_count += 1
-        if f"after={self.version}&" in request.target.decode():
-            with trio.move_on_after(1.0):
+        target = request.target.decode()
+        if f"after={self.version}&" in target:
+            wait_ms = int(target.partition("wait_ms=")[2])
+            with trio.move_on_after(min(MAX_CHANGE_WAIT_S, wait_ms / 1000)):
                 await self.changed.wait()
         answer = {"seq": self.version, "whole": True, "hosts": list(self.entries.values())}
         return Reply(200, body=json.dumps(answer).encode())
@@ -182,6 +193,7 @@
         self.discovery_port = reserve_port()
         self.limits = {"sockets": 256, **limits}
         self.discovery = discovery or FakeDiscovery()
+        self.known: Fields = {"seq": 0, "whole": True, "hosts": []}
         self.write_configuration(self.discovery_port)
 
     def write_configuration(self, discovery_port: int) -> None:
@@ -191,7 +203,7 @@
             "discovery": f"127.0.0.1:{discovery_port}",
             "seed": self.seed,
             "limits": self.limits,
-            "known": {"seq": 0, "whole": True, "hosts": []},
+            "known": self.known,
             "settings": self.settings,
         }
         self.configuration_path.write_text(json.dumps(configuration))
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -103,12 +103,12 @@
 
 
 def _pause_after_losses() -> None:
-    schedule_watch = ListRequests._schedule_watch
+    schedule_request = ListRequests._schedule_request
 
-    def schedule_later(self: ListRequests, now: int, _delay_ticks: int) -> None:
-        schedule_watch(self, now, PAUSE_AFTER_LOSS_TICKS)
+    def schedule_later(self: ListRequests, now: int, _delay_ticks: int) -> int:
+        return schedule_request(self, now, PAUSE_AFTER_LOSS_TICKS)
 
-    patch.object(ListRequests, "_schedule_watch", schedule_later).start()
+    patch.object(ListRequests, "_schedule_request", schedule_later).start()
 
 
 def _ignore_message_cap() -> None:
--- a/tests/test_platform_discovery_watch.py
+++ b/tests/test_platform_discovery_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -67,7 +68,10 @@
         self.while_handling: Callable[[], None] = (
             lambda: None
         )  # called once, while the next answer is handled
-        self.watch = DiscoveryWatch(Address("127.0.0.1", port), self.handle_answer, self.losses.append)
+        self.until_fetch_s = math.inf
+        self.watch = DiscoveryWatch(
+            Address("127.0.0.1", port), self.handle_answer, self.losses.append, lambda: self.until_fetch_s
+        )
         self.watch.version = 7
 
     def handle_answer(self, fields: Fields) -> int:
@@ -112,9 +116,11 @@
     async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
         _, stream = await discovery.next_request()
         recorder.watch.fetch_complete_list()
+        await send_answer(stream, 8)
         target, stream = await discovery.next_request()
         assert target == "/v1/servers"
-        await stream.aclose()  # before an answer; on a new connection this is a loss
+        await trio.sleep(0.15)  # longer than IDLE_CLOSE_S, so the close is a loss
+        await stream.aclose()
         with trio.fail_after(5):
             while not recorder.losses:
                 await trio.sleep(0.01)
@@ -125,6 +131,47 @@
     run_scenario(scenario)
 
 
+def test_fetches_do_not_replace_the_request_in_flight() -> None:
+    """Guards against fetches that cancel one another, so that no answer of a slow discovery ever arrives."""
+
+    async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
+        async def expect_no_request() -> None:
+            for _ in range(4):
+                recorder.watch.fetch_complete_list()
+                with pytest.raises(trio.TooSlowError), trio.fail_after(0.1):
+                    await discovery.next_request()
+
+        target, stream = await discovery.next_request()
+        assert "after=7" in target
+        await expect_no_request()
+        await send_answer(stream, 8)
+        target, stream = await discovery.next_request()
+        assert target == "/v1/servers"
+        await expect_no_request()
+        await send_answer(stream, 9)
+        target, _ = await discovery.next_request()
+        assert "after=9" in target  # the complete list that has come is the one that was fetched
+        assert recorder.versions == [8, 9] and not recorder.losses and discovery.connection_count == 1
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("until_fetch_s", "wait_ms"), [(math.inf, 2000), (9.0, 2000), (0.4004, 401), (0.0, 0)]
+)
+def test_request_waits_for_a_change_no_longer_than_until_the_next_fetch(
+    until_fetch_s: float, wait_ms: int
+) -> None:
+    async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
+        _, stream = await discovery.next_request()
+        recorder.until_fetch_s = until_fetch_s
+        await send_answer(stream, 8)
+        target, _ = await discovery.next_request()
+        assert target.endswith(f"after=8&wait_ms={wait_ms}")
+
+    run_scenario(scenario)
+
+
 def test_address_change_from_the_answer_handler_requests_at_the_new_address() -> None:
     async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
         async with trio.open_nursery() as nursery:
--- a/willowhook/controlplane/endpoint_list_reader.py
+++ b/willowhook/controlplane/endpoint_list_reader.py
@@ -45,7 +45,7 @@
         self._watch_requested.set()
 
     def fetch(self) -> None:
-        """Requests the complete list once."""
+        """Requests the complete list once; a request in flight is not repeated."""
         self._fetch_requested.set()
 
     async def run_watch(self) -> None:
@@ -69,8 +69,9 @@
         client = self._make_client()
         while True:
             await self._fetch_requested.wait()
-            self._fetch_requested = trio.Event()
-            if not await self._poll(client, True):
+            is_received = await self._poll(client, True)
+            self._fetch_requested = trio.Event()  # one that was requested meanwhile has this answer
+            if not is_received:
                 await self._context.queue.send(EndpointListLost())
 
     def _make_client(self) -> DiscoveryClient:
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -150,6 +150,10 @@
         """Returns each endpoint's capacity relative to the mean, listed or learnt, by endpoint name."""
         return {name: endpoint.capacity for name, endpoint in self.fleet.endpoints.items()}
 
+    def ticks_until_list_fetch(self, now: int) -> int | None:
+        """Returns the time until the next `fetch_endpoint_list`; None if none is scheduled."""
+        return self._list_requests.ticks_until_fetch(now)
+
     def status(self, now: int) -> ControllerStatus:
         """Returns figures on the current state of the fleet and the channel."""
         endpoints = self.fleet.endpoints.values()
@@ -187,11 +191,11 @@
 
     def flush(self, now: int) -> None:
         """Issues the commands for a batch of events, in the order of `UpdateSequence`."""
-        self._list_requests.watch_if_due(now)
+        self._list_requests.send_due(now)
         self._updates.send(now)
 
     def _handle_timer(self, now: int) -> None:
-        """Evaluates, unless the timer was set only to request the list in the next flush."""
+        """Evaluates, unless the timer was set only for a request for the list in the next flush."""
         if not self._list_requests.take_timer(now):
             self._evaluate(now)
 
@@ -209,7 +213,6 @@
         self._health_checks.send_due(now)
         if self.subsets.end_connection_limit_if_due(now):
             self.pending_binds.rebind_all(now, self.fleet.proxies)
-        self._list_requests.refetch_if_due(now)
         self._step_weights(now)
         self._end_unresponsive_sessions()
         self._runtime.schedule_evaluation(EVALUATION_INTERVAL_TICKS)
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -37,11 +37,11 @@
     def handle_list(self, now: int, event: EndpointListReceived) -> None:
         """Applies a complete list, or a set of changes to the list."""
         self._received_lists += 1
-        self._requests.record_answer()
+        self._requests.record_answer(event.is_complete)
         for entry in event.entries:
             self._update_endpoint(now, entry)
         if event.is_complete:
-            self._requests.stop_refetching()
+            self._requests.cancel_refetch()
             self._remove_missing(now, {entry.name for entry in event.entries})
 
     def forget_removed(self, now: int) -> None:
@@ -106,7 +106,7 @@
             missing = [
                 name for name in missing if name not in sums or sums[name].attempts <= 2 * sums[name].failures
             ]
-            self._requests.start_refetching(now)
+            self._requests.schedule_refetch(now)
             self._runtime.log(
                 f"endpoint list implausible listed={len(listed)} in_service={len(sums)} "
                 f"removed={len(missing)}"
--- a/willowhook/decisions/runtime.py
+++ b/willowhook/decisions/runtime.py
@@ -44,7 +44,7 @@
         """Requests the endpoint list and subscribes to its changes."""
 
     def fetch_endpoint_list(self) -> None:
-        """Requests the complete endpoint list once."""
+        """Requests the complete endpoint list once; a complete list or an `EndpointListLost` follows."""
 
     def check_health(self, endpoint: str) -> None:
         """Sends a health check; its result arrives as a `HealthCheckCompleted` event."""
--- a/willowhook/platform/discovery_watch.py
+++ b/willowhook/platform/discovery_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -36,21 +37,31 @@
         handle_answer: handles an answer and returns the resulting version of the list. Raises
             MalformedFieldError.
         handle_loss: handles the reason why there was no valid answer.
+        seconds_until_fetch: returns the time until the next `fetch_complete_list`; infinite if none is
+            scheduled. A request waits for a change no longer than that.
 
     Attributes:
         version: changes after this version are requested; None if the complete list is requested.
         statistics: counts of the requests.
     """
 
-    def __init__(self, address: Address, handle_answer: AnswerHandler, handle_loss: LossHandler) -> None:
+    def __init__(
+        self,
+        address: Address,
+        handle_answer: AnswerHandler,
+        handle_loss: LossHandler,
+        seconds_until_fetch: Callable[[], float] = lambda: math.inf,
+    ) -> None:
         self.version: int | None = None
         self.statistics = DiscoveryStatistics()
         self._address = address
         self._handle_answer = handle_answer
         self._handle_loss = handle_loss
+        self._seconds_until_fetch = seconds_until_fetch
         self._resumed = trio.Event()
         self._exchange_scope = trio.CancelScope()  # the request in flight, and the handling of its answer
-        self._wants_complete_list = False
+        self._wants_complete_list = False  # by the next request
+        self._is_fetching = False  # the request in flight is for the complete list
         self._lost_answers = 0  # requests in a row that were sent and not answered
         self._connection: ClientConnection | None = None
         self._connected_to = address
@@ -60,10 +71,13 @@
         self._resumed.set()
 
     def fetch_complete_list(self) -> None:
-        """Requests the complete list immediately, in place of the request in flight."""
-        self._wants_complete_list = True
+        """Requests the complete list after the request in flight, unless that is for the complete list.
+
+        No request is given up for it: its answer may be on the way, and the next one may take as long.
+        """
+        if not self._is_fetching:
+            self._wants_complete_list = True
         self._resumed.set()
-        self._exchange_scope.cancel()
 
     def set_address(self, address: Address) -> None:
         """Requests the list at another address from now on, starting immediately."""
@@ -110,13 +124,13 @@
 
     async def _request_answer(self) -> Fields | None:
         """Returns the answer to one request; None if there was none, and the loss has been handled."""
-        is_complete = self._wants_complete_list or self.version is None
-        self._wants_complete_list = False  # if set during this request, it applies to the next one
+        self._is_fetching = self._wants_complete_list or self.version is None
+        self._wants_complete_list = False
         self.statistics.requests += 1
         address = self._address
         answer = None
         try:
-            answer = await self._request(is_complete)
+            answer = await self._request(self._is_fetching)
         except (ConnectionLostError, trio.TooSlowError, FramingError) as error:
             with trio.CancelScope(shield=True):  # a change of the address here must not hide the loss
                 await self._disconnect()
@@ -127,8 +141,9 @@
         else:
             self._lost_answers = 0
         finally:
-            if answer is None and is_complete:
+            if answer is None and self._is_fetching:
                 self._wants_complete_list = True
+            self._is_fetching = False
         return answer
 
     async def _request(self, is_complete: bool) -> Fields:
@@ -148,12 +163,14 @@
 
     @property
     def _change_wait_ms(self) -> int:
-        """How long the next request waits for a change.
+        """How long the next request waits for a change: no longer than until the complete list is fetched.
 
         The first one after a lost answer does not wait, so that the loss of its answer is detected sooner. A
         second loss may mean that discovery answers slowly, so later requests allow it the whole time again.
         """
-        return 0 if self._lost_answers == 1 else CHANGE_WAIT_MS
+        if self._lost_answers == 1:
+            return 0
+        return math.ceil(min(CHANGE_WAIT_MS, 1000 * self._seconds_until_fetch()))
 
     async def _call(self, target: bytes) -> Reply:
         """Requests on the existing connection if usable, else on a new one. Raises ConnectionLostError."""
--- a/willowhook/platform/server.py
+++ b/willowhook/platform/server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from functools import partial
 
@@ -14,6 +15,7 @@
 from ..decisions.controller import Controller
 from ..decisions.events import Event
 from ..evaluation_timer import EvaluationTimer
+from ..ticks import TICKS_PER_SECOND
 from .clock import Clock
 from .configuration import ControllerConfiguration
 from .configuration_reload import ConfigurationReloader, ReadConfiguration
@@ -51,7 +53,10 @@
         self._sessions = ProxySessions(configuration, self._submit, self._wake, write_log)
         self._discovery_events = DiscoveryEvents(self._submit, write_log)
         self._discovery = DiscoveryWatch(
-            configuration.discovery, self._discovery_events.handle_answer, self._discovery_events.handle_loss
+            configuration.discovery,
+            self._discovery_events.handle_answer,
+            self._discovery_events.handle_loss,
+            self._seconds_until_list_fetch,
         )
         self._reloader = ConfigurationReloader(read_configuration, self._apply_configuration, write_log)
         updates = self._sessions.updates
@@ -82,6 +87,10 @@
     def _wake(self) -> None:
         self._loop.wake()
 
+    def _seconds_until_list_fetch(self) -> float:
+        ticks = self._controller.ticks_until_list_fetch(self._clock.now())
+        return math.inf if ticks is None else ticks / TICKS_PER_SECOND
+
     def _load_endpoint_list(self, answer: Fields) -> None:
         """Loads the configured list; a malformed one is logged and ignored."""
         try:
