Discovery: the time limit of a request follows the time that answers take

Complete lists had 1.2 s, each time anew, so a discovery that needs longer for a call was never heard at a start, after a malformed answer or after an implausible list. Found in an ordinary watch, too: with calls of 2.5 s and the version of the configuration, 4 requests in 12 s, 3 losses, no answer, endpoints_in_service=0 (trace on of a real process).

The limit is 1.2 s while answers are quick, as before, so the budget of a lost answer stands. It is 1.5 times the slowest of the last four answers where that is more, and doubles with each time-out in a row but the first, up to 6 s ('counts as told 6 s later at the latest'). After a time-out a request does not wait for a change: all of the limit is left to the answer, and its duration is known. The limit starts anew when discovery moves.

--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -24,7 +24,6 @@
 
 REPOSITORY = Path(__file__).parent.parent
 SETTINGS = json.loads((Path(__file__).parent / "options.json").read_text())
-MAX_CHANGE_WAIT_S = 1.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 ATTACH = {"t": "attach", "proxy": 0, "zone": "north", "weight": 5.0, "fresh": True}
 
@@ -33,7 +32,16 @@
 
 
 class FakeDiscovery:
-    """A discovery server whose requests for changes wait for one, up to MAX_CHANGE_WAIT_S."""
+    """A discovery server whose requests for changes wait for one.
+
+    Attributes:
+        max_change_wait_s: the longest wait.
+        version: the present version of the list.
+        entries: the list, by endpoint.
+        request_count: the number of requests.
+    """
+
+    max_change_wait_s = 1.0
 
     def __init__(self) -> None:
         self.version = 1
@@ -68,7 +76,7 @@
         target = request.target.decode()
         if f"after={self.version}&" in target:
             wait_ms = int(target.partition("wait_ms=")[2])
-            with trio.move_on_after(min(MAX_CHANGE_WAIT_S, wait_ms / 1000)):
+            with trio.move_on_after(min(self.max_change_wait_s, wait_ms / 1000)):
                 await self.changed.wait()
         answer = {"seq": self.version, "whole": True, "hosts": list(self.entries.values())}
         return Reply(200, body=json.dumps(answer).encode())
--- a/tests/test_platform_slow_discovery.py
+++ b/tests/test_platform_slow_discovery.py
@@ -29,7 +29,7 @@
 
 
 class SlowDiscovery(FakeDiscovery):
-    """A discovery server that needs a fixed time for each call, after its wait for a change.
+    """A discovery server that needs a fixed time for each call, after the whole wait for a change.
 
     Attributes:
         delay_s: the time that it needs for a call.
@@ -37,6 +37,8 @@
         answered_at: when each version of the list was first answered, in the clock of trio.
     """
 
+    max_change_wait_s = 60.0
+
     def __init__(self, delay_s: float) -> None:
         super().__init__()
         self.delay_s = delay_s
@@ -130,3 +132,16 @@
         assert discovery.connection_count == 1  # no request was given up
 
     play_all(tmp_path, (0.0, 0.3, 0.7, 1.1), scenario, known=ENDPOINTS)
+
+
+def test_discovery_is_followed_when_its_answers_take_longer_than_the_first_time_limit(tmp_path: Path) -> None:
+    """Guards against a time limit below what discovery needs, so that no complete list is ever received."""
+
+    async def scenario(_controller: ControllerProcess, discovery: SlowDiscovery, proxy: Peer) -> None:
+        await proxy.receive_until(lambda received: set(received_weights(received)) == set(ENDPOINTS))
+        connection_count = discovery.connection_count
+        await trio.sleep(5.0)
+        await expect_timely_drain(discovery, proxy, ENDPOINTS[0])
+        assert discovery.connection_count == connection_count  # no request was given up since
+
+    play_all(tmp_path, (1.4, 1.9, 2.3), scenario)
--- a/willowhook/platform/discovery_watch.py
+++ b/willowhook/platform/discovery_watch.py
@@ -4,9 +4,11 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
+from ..answer_time_limit import AnswerTimeLimit
 from ..web.wire import ClientConnection, ConnectionLostError, Reply, open_connection
 from .address import Address
 from .discovery_statistics import DiscoveryStatistics
@@ -15,16 +17,33 @@
 from .framing import FramingError, decode_object
 
 # How long a request waits for a change, and how much later its answer may arrive. A lost answer is detected
-# within the sum of both. It counts as received 2 s after the wait ended: what ANSWER_TIMEOUT_S leaves of that
+# within the sum of both. It counts as received 2 s after the wait ended: what the answer time leaves of that
 # has to suffice for the pause after a loss, a connection and the next answer (docs/platform.md).
 CHANGE_WAIT_MS = 2000
-ANSWER_TIMEOUT_S = 1.2
+MIN_ANSWER_TIME_LIMIT_S = 1.2  # while service discovery answers quickly
+MAX_ANSWER_TIME_LIMIT_S = 6.0  # every answer counts as received after it
 CONNECT_TIMEOUT_S = 0.5  # a path that works again is used only after the attempt from before has ended
 MIN_REQUEST_INTERVAL_S = 0.1  # after an answer without changes; the platform requires one within 0.2 s
 IDLE_CLOSE_S = 0.1  # a request on a connection that the peer has just closed fails within it
 MAX_ANSWER_BYTES = 16 << 20
 STATUS_OK = 200
 
+
+@dataclass(frozen=True, slots=True)
+class ListRequest:
+    """A request to service discovery.
+
+    Attributes:
+        target: the request target.
+        wait_ms: how long the server waits for a change; 0 for the complete list.
+        is_complete: whether it is for the complete list.
+    """
+
+    target: str
+    wait_ms: int
+    is_complete: bool
+
+
 AnswerHandler = Callable[[Fields], int | None]
 LossHandler = Callable[[str], None]
 
@@ -63,6 +82,7 @@
         self._wants_complete_list = False  # by the next request
         self._is_fetching = False  # the request in flight is for the complete list
         self._lost_answers = 0  # requests in a row that were sent and not answered
+        self._time_limit = _new_time_limit()
         self._connection: ClientConnection | None = None
         self._connected_to = address
 
@@ -83,6 +103,7 @@
         """Requests the list at another address from now on, starting immediately."""
         if address != self._address:
             self._address = address
+            self._time_limit = _new_time_limit()
             self._resumed.set()  # a loss concerned the old address only
             self._exchange_scope.cancel()
 
@@ -107,9 +128,11 @@
         """Sends one request and handles its answer."""
         started_at = trio.current_time()
         version_before = self.version
-        answer = await self._request_answer()
+        request = self._next_request()
+        answer = await self._request_answer(request)
         if answer is None:
             return
+        duration_s = trio.current_time() - started_at
         try:
             self.version = self._handle_answer(answer)
         except MalformedFieldError as error:
@@ -119,18 +142,25 @@
             return
         self.statistics.answers += 1
         is_unchanged = self.version == version_before
-        if is_unchanged and trio.current_time() - started_at < MIN_REQUEST_INTERVAL_S:
+        self._record_answer_time(request, duration_s, is_unchanged)
+        if is_unchanged and duration_s < MIN_REQUEST_INTERVAL_S:
             await trio.sleep(MIN_REQUEST_INTERVAL_S)  # the server answered immediately, without changes
 
-    async def _request_answer(self) -> Fields | None:
-        """Returns the answer to one request; None if there was none, and the loss has been handled."""
-        self._is_fetching = self._wants_complete_list or self.version is None
+    def _next_request(self) -> ListRequest:
+        if self._wants_complete_list or self.version is None:
+            return ListRequest(list_request_target(), 0, is_complete=True)
+        wait_ms = self._change_wait_ms
+        return ListRequest(change_request_target(self.version, wait_ms), wait_ms, is_complete=False)
+
+    async def _request_answer(self, request: ListRequest) -> Fields | None:
+        """Returns the answer to a request; None if there was none, and the loss has been handled."""
+        self._is_fetching = request.is_complete
         self._wants_complete_list = False
         self.statistics.requests += 1
         address = self._address
         answer = None
         try:
-            answer = await self._request(self._is_fetching)
+            answer = await self._request(request)
         except (ConnectionLostError, trio.TooSlowError, FramingError) as error:
             with trio.CancelScope(shield=True):  # a change of the address here must not hide the loss
                 await self._disconnect()
@@ -141,34 +171,38 @@
         else:
             self._lost_answers = 0
         finally:
-            if answer is None and self._is_fetching:
+            if answer is None and request.is_complete:
                 self._wants_complete_list = True
             self._is_fetching = False
         return answer
 
-    async def _request(self, is_complete: bool) -> Fields:
+    async def _request(self, request: ListRequest) -> Fields:
         """Raises ConnectionLostError, TooSlowError or FramingError if no JSON object is received."""
-        if is_complete or self.version is None:
-            target = list_request_target()
-            timeout_s = ANSWER_TIMEOUT_S
-        else:
-            wait_ms = self._change_wait_ms
-            target = change_request_target(self.version, wait_ms)
-            timeout_s = wait_ms / 1000 + ANSWER_TIMEOUT_S
-        with trio.fail_after(timeout_s):
-            reply = await self._call(target.encode())
+        try:
+            with trio.fail_after(request.wait_ms / 1000 + self._time_limit.seconds):
+                reply = await self._call(request.target.encode())
+        except trio.TooSlowError:
+            self._time_limit.record_timeout()
+            raise
+        self._time_limit.record_answer()
         if reply.status != STATUS_OK:
             raise ConnectionLostError(f"unexpected status {reply.status}", True)
         return decode_object(reply.body)
 
+    def _record_answer_time(self, request: ListRequest, duration_s: float, is_unchanged: bool) -> None:
+        """Records the time that the server needed, unless a change may have ended its wait."""
+        answer_time_s = duration_s - request.wait_ms / 1000
+        if answer_time_s >= 0 and (is_unchanged or not request.wait_ms):
+            self._time_limit.record_answer_time(answer_time_s)
+
     @property
     def _change_wait_ms(self) -> int:
         """How long the next request waits for a change: no longer than until the complete list is fetched.
 
-        The first one after a lost answer does not wait, so that the loss of its answer is detected sooner. A
-        second loss may mean that discovery answers slowly, so later requests allow it the whole time again.
+        The first one after a lost answer does not wait, so that the loss of its answer is detected sooner. No
+        one does after a time-out, so that the whole time limit is left to a server that is merely slow.
         """
-        if self._lost_answers == 1:
+        if self._lost_answers == 1 or self._time_limit.timeouts:
             return 0
         return math.ceil(min(CHANGE_WAIT_MS, 1000 * self._seconds_until_fetch()))
 
@@ -199,6 +233,10 @@
             await connection.close()
 
 
+def _new_time_limit() -> AnswerTimeLimit:
+    return AnswerTimeLimit(MIN_ANSWER_TIME_LIMIT_S, MAX_ANSWER_TIME_LIMIT_S)
+
+
 def _may_have_lost_answer(error: Exception) -> bool:
     """Whether the request may have been answered; one that found no connection was not."""
     if isinstance(error, ConnectionLostError):
