--- a/tests/test_config_and_roster.py
+++ b/tests/test_config_and_roster.py
@@ -201,3 +201,32 @@
             await client.fetch(True)
 
     trio.run(scenario)
+
+
+def test_registry_that_needs_longer_than_the_timeout_is_heard_after_a_few_requests() -> None:
+    """Guards against a time limit below what the registry needs, so that no list is ever received."""
+    delay_seconds = 0.45
+    request_count = 0
+
+    async def answer(_request: Call) -> Reply | None:
+        nonlocal request_count
+        request_count += 1
+        await trio.sleep(delay_seconds)
+        return Reply(200, [(b"x-consul-index", b"5")], json.dumps([entry()]).encode())
+
+    async def scenario() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(
+                partial(trio.serve_tcp, partial(serve_connection, answer=answer), 0)
+            )
+            port = listeners[0].socket.getsockname()[1]
+            client = DiscoveryClient(f"http://127.0.0.1:{port}", "tasks", 0.1, 0.15)
+            for _ in range(3):
+                with pytest.raises(DiscoveryError, match="no response"):
+                    await client.fetch(True)
+            for _ in range(3):  # the limit follows what the registry needs
+                assert await client.fetch(True) is not None
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+    assert request_count == 6
--- a/tests/test_controlplane_components.py
+++ b/tests/test_controlplane_components.py
@@ -129,6 +129,33 @@
     assert len(pauses) > 70 and max(pauses) <= 3 / 8
 
 
+def test_fetch_in_flight_is_not_repeated() -> None:
+    """Guards against fetches that add to the load of a slow discovery before the last one is answered."""
+    context = SimpleNamespace(terms=EXAMPLE, settings=SETTINGS, conditions=None)
+    fetched_at: list[float] = []
+
+    class SlowReader(EndpointListReader):
+        async def _poll(self, client: DiscoveryClient, needs_complete_list: bool) -> bool:
+            fetched_at.append(trio.current_time())
+            await trio.sleep(3)
+            return True
+
+    async def run() -> None:
+        reader = SlowReader(cast(ServiceContext, context))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reader.run_fetches)
+            for _ in range(5):  # during the first fetch
+                reader.fetch()
+                await trio.sleep(0.5)
+            await trio.sleep(7.5)
+            reader.fetch()
+            await trio.sleep(10)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert [time - fetched_at[0] for time in fetched_at] == [0, 10]
+
+
 def test_handoff_packet_is_decoded_as_encoded_without_unknown_endpoints() -> None:
     addresses = {"a": ("127.0.0.1", 9000, "north"), "b": ("127.0.0.1", 9001, "south")}
     known = {"a": EndpointSums(10, 2, 5000), "b": EndpointSums(3, 3, 0)}
