--- a/tests/test_platform_discovery_watch.py
+++ b/tests/test_platform_discovery_watch.py
@@ -208,6 +208,29 @@
     run_scenario(scenario)
 
 
+def test_fetch_in_flight_is_sent_to_the_new_address_after_an_address_change() -> None:
+    """Guards against a fetched list that is forgotten because discovery moved before its answer."""
+
+    async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
+        async with trio.open_nursery() as nursery:
+            new = FakeDiscovery()
+            await nursery.start(new.serve)
+            _, stream = await discovery.next_request()
+            recorder.watch.fetch_complete_list()
+            await send_answer(stream, 8)
+            target, _ = await discovery.next_request()
+            assert target == "/v1/servers"
+            recorder.watch.set_address(Address("127.0.0.1", new.port))
+            target, stream = await new.next_request()
+            assert target == "/v1/servers" and not recorder.losses
+            await send_answer(stream, 9)
+            target, _ = await new.next_request()
+            assert "after=9" in target
+            nursery.cancel_scope.cancel()
+
+    run_scenario(scenario)
+
+
 def test_idle_connection_closed_as_the_request_is_written_is_retried_without_a_loss() -> None:
     async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
         _, stream = await discovery.next_request()
