Endpoint list: endpoints that an implausible list lacked are removed with their first failing reports

A related path of the list requests: the complete list was fetched again only to look once more at one's own reports.

Cause: EndpointListTracker judged the endpoints that a list lacked only when a list came, by sums of two buckets, in which successes from before their end outweigh the failures for a second or more. Now an endpoint that was kept is removed with the first report after which most of the attempts of the latest bucket have failed, and its exclusion counts from the list that lacked it, so it is urgent in time. Silence removes nothing between lists: reports may have stalled.

--- a/tests/decisions/test_endpoint_list.py
+++ b/tests/decisions/test_endpoint_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from builders import IN_SERVICE, REMOVED, SECOND, WARM, start_fleet
+from builders import IN_SERVICE, REMOVED, SECOND, WARM, settings_with, start_fleet
 
 from willowhook.decisions.events import EndpointListLost
 
@@ -56,6 +56,54 @@
     assert sum(harness.runtime.excluded.values()) == 5
 
 
+@pytest.mark.parametrize("reports_late_ticks", [0, SECOND // 2, 3 * SECOND // 2])
+def test_endpoints_that_left_with_most_others_are_excluded_within_the_drain_grace(
+    reports_late_ticks: int,
+) -> None:
+    """Guards against an implausible list that is right: endpoints that left stay in use past the grace."""
+    drain_grace_ticks = 2 * SECOND
+    harness = start_fleet(settings_with(rules__drain_grace_ticks=drain_grace_ticks), endpoints=11)
+    lost = [f"h{k}" for k in range(6)]
+    lost_at = 5 * SECOND
+    listed_at = lost_at + 7 * SECOND // 10
+    excluded_at: dict[str, int] = {}
+    for step in range(100):
+        now = step * SECOND // 10
+        harness.advance(now - harness.now)
+        if now == listed_at:  # discovery answers nothing more after this list
+            harness.receive_endpoint_list({f"h{k}": WARM for k in range(6, 11)})
+        if now % (SECOND // 2) == 0:
+            is_down = now - reports_late_ticks > lost_at
+            for k in range(11):
+                harness.report_endpoint(f"h{k}", 10, 10 if is_down and k < 6 else 0, 100.0)
+        harness.flush()
+        for name in lost:
+            if harness.runtime.excluded.get(name):
+                excluded_at.setdefault(name, now)
+    assert set(excluded_at) == set(lost)
+    max_delay_ticks = harness.runtime.settings.channel.max_delay_ticks
+    assert max(excluded_at.values()) <= listed_at + drain_grace_ticks - max_delay_ticks
+    assert sorted(harness.usable_weights()) == sorted(f"h{k}" for k in range(6, 11))
+
+
+def test_endpoints_that_an_implausible_list_lacks_stay_in_service_while_nothing_is_reported() -> None:
+    """Guards against a stall of the reports that is taken for the end of most endpoints."""
+    harness = start_fleet()
+    for _ in range(4):
+        for k in range(8):
+            harness.report_endpoint(f"h{k}", 10, 0, 100.0)
+        harness.advance(SECOND // 2)
+    harness.receive_endpoint_list({"h0": WARM})
+    harness.advance(10 * SECOND)
+    assert len(harness.usable_weights()) == 8
+    harness.receive_endpoint_list({f"h{k}": WARM for k in range(8)})
+    for _ in range(4):  # listed again: outlier detection alone judges failures
+        for k in range(8):
+            harness.report_endpoint(f"h{k}", 10, 6 if k == 7 else 0, 100.0)
+        harness.advance(SECOND // 2)
+    assert len(harness.usable_weights()) == 8
+
+
 def test_failed_endpoint_list_request_is_repeated() -> None:
     harness = start_fleet()
     assert harness.runtime.watch_count == 1
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -248,6 +248,7 @@
         successes = report.attempts - report.failures
         latency_ticks = report.mean_latency_ticks * successes
         endpoint.record_attempts(now, report.attempts, report.failures, latency_ticks)
+        self._endpoint_list.remove_if_failing(now, endpoint)
         self._load.record_attempts(now, successes, report.attempts)
         if report.cpu_utilization is not None:
             endpoint.utilization = report.cpu_utilization
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -1,4 +1,10 @@
-"""Endpoint list handling: applies received lists, and rejects implausible removals."""
+"""Endpoint list handling: applies received lists, and rejects implausible removals.
+
+Service discovery may lose entries without reporting an error. A complete list that lacks most endpoints in
+service is therefore implausible: endpoints that it lacks stay in service while they answer, and the complete
+list is requested again. They may have left all the same, so the drain grace of the list that lacked them is
+running: they are removed as soon as they are reported to fail, whether another list has come or not.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +18,7 @@
 
 INITIAL_LATENCY_FACTOR = 0.5  # latency factor of a newly started endpoint
 FORGET_AFTER_TICKS = 30 * TICKS_PER_SECOND  # time after its exclusion when a removed endpoint is dropped
+LATEST_BUCKETS = 1  # buckets that show whether an endpoint answers; an earlier one may be from before its end
 INITIAL_LISTS = 2  # the saved copy and the first response: their endpoints do not count as new
 
 
@@ -33,6 +40,9 @@
         self._bucket_ticks = context.bucket_ticks
         self._rules = context.settings.rules
         self._received_lists = 0
+        self._unlisted_since: dict[
+            str, int
+        ] = {}  # when the first list came that lacked them; still in service
 
     def handle_list(self, now: int, event: EndpointListReceived) -> None:
         """Applies a complete list, or a set of changes to the list."""
@@ -40,9 +50,16 @@
         self._requests.record_answer(event.is_complete)
         for entry in event.entries:
             self._update_endpoint(now, entry)
+            self._unlisted_since.pop(entry.name, None)
         if event.is_complete:
             self._requests.cancel_refetch()
-            self._remove_missing(now, {entry.name for entry in event.entries})
+            self._handle_missing(now, {entry.name for entry in event.entries})
+
+    def remove_if_failing(self, now: int, endpoint: Endpoint) -> None:
+        """Removes an endpoint that fails, if a list lacked it and it was kept because it answered."""
+        if endpoint.name in self._unlisted_since and not self._is_answering(now, endpoint):
+            self._runtime.log(f"unlisted endpoint removed endpoint={endpoint.name}")
+            self._remove(endpoint.name, self._unlisted_since[endpoint.name])
 
     def forget_removed(self, now: int) -> None:
         """Drops removed endpoints some time after their exclusion, once no table has an entry for them."""
@@ -87,30 +104,39 @@
         stayed_in_service = endpoint.is_in_service and entry.state is EndpointState.IN_SERVICE
         endpoint.restarted_in_service = stayed_in_service and not endpoint.is_excluded
 
-    def _remove_missing(self, now: int, listed: set[str]) -> None:
-        """Removes endpoints that a complete list lacks, unless it lacks most of those in service.
-
-        Service discovery may lose entries without reporting an error. A list that lacks most endpoints in
-        service is therefore implausible: of those, only the ones without recent attempts or with at least
-        half of their attempts failed are removed, and the complete list is requested again.
-        """
+    def _handle_missing(self, now: int, listed: set[str]) -> None:
+        """Removes endpoints that a complete list lacks; of an implausible list, those that do not answer."""
         missing = [name for name in self._fleet.endpoints if name not in listed]
-        if not missing:
-            return
-        sums = {
-            name: endpoint.attempts(now, RECENT_BUCKETS)
-            for name, endpoint in self._fleet.endpoints.items()
-            if endpoint.is_in_service
+        in_service = [endpoint for endpoint in self._fleet.endpoints.values() if endpoint.is_in_service]
+        missing_in_service = [endpoint for endpoint in in_service if endpoint.name not in listed]
+        unlisted_since = {
+            endpoint.name: self._unlisted_since.get(endpoint.name, now) for endpoint in missing_in_service
         }
-        if 2 * sum(name in sums for name in missing) > len(sums):
-            missing = [
-                name for name in missing if name not in sums or sums[name].attempts <= 2 * sums[name].failures
-            ]
+        self._unlisted_since = {}
+        if 2 * len(missing_in_service) > len(in_service):
+            self._unlisted_since = {
+                endpoint.name: unlisted_since[endpoint.name]
+                for endpoint in missing_in_service
+                if self._is_answering(now, endpoint)
+            }
+            missing = [name for name in missing if name not in self._unlisted_since]
             self._requests.schedule_refetch(now)
             self._runtime.log(
-                f"endpoint list implausible listed={len(listed)} in_service={len(sums)} "
+                f"endpoint list implausible listed={len(listed)} in_service={len(in_service)} "
                 f"removed={len(missing)}"
             )
         for name in missing:
-            self._fleet.endpoints[name].set_state(EndpointState.REMOVED)
-            self._exclusions.record_change(now, name)
+            self._remove(name, unlisted_since.get(name, now))
+
+    def _remove(self, name: str, unlisted_since: int) -> None:
+        self._unlisted_since.pop(name, None)
+        self._fleet.endpoints[name].set_state(EndpointState.REMOVED)
+        self._exclusions.record_change(unlisted_since, name)
+
+    @staticmethod
+    def _is_answering(now: int, endpoint: Endpoint) -> bool:
+        """Whether most of the latest attempts that were reported have succeeded; False if there are none."""
+        sums = endpoint.attempts(now, LATEST_BUCKETS)
+        if not sums.attempts:
+            sums = endpoint.attempts(now, RECENT_BUCKETS)
+        return sums.attempts > 2 * sums.failures
