--- a/tests/controlplane_fixtures.py
+++ b/tests/controlplane_fixtures.py
@@ -18,7 +18,7 @@
 from willowhook.controlplane.update_sinks import FileUpdateSink
 from willowhook.files.swap import FileGroupWriter
 from willowhook.records.writer import RecordWriter
-from willowhook.roster.forms import DiscoveredEndpoint
+from willowhook.registry.endpoint import DiscoveredEndpoint
 from willowhook.versions.resources import ResourceStore, first_era
 
 SETTINGS = deployment_settings(EXAMPLE)
--- a/tests/test_config_and_roster.py
+++ b/tests/test_config_and_registry.py
@@ -15,8 +15,10 @@
 from willowhook.cli.main import main
 from willowhook.config.check import ConfigError, parse_config, schema
 from willowhook.config.example import EXAMPLE
-from willowhook.roster.forms import BlockingQueryIndex, DiscoveryError, parse_endpoints
-from willowhook.roster.reader import DiscoveryClient
+from willowhook.registry.blocking_query import BlockingQueryIndex
+from willowhook.registry.client import DiscoveryClient
+from willowhook.registry.endpoint import DiscoveryError
+from willowhook.registry.response import parse_endpoints
 from willowhook.web.wire import Call, Reply, serve_connection
 
 EXAMPLE_DOCUMENT = json.loads(msgspec.json.encode(EXAMPLE))
--- a/tests/test_controlplane_components.py
+++ b/tests/test_controlplane_components.py
@@ -28,8 +28,8 @@
 from willowhook.decisions.events import EndpointListLost, EvaluationDue
 from willowhook.membership.handoff import EndpointSums, Hint, Packet
 from willowhook.records.writer import RecordWriter, read_records
-from willowhook.roster.forms import DiscoveredEndpoint
-from willowhook.roster.reader import DiscoveryClient
+from willowhook.registry.client import DiscoveryClient
+from willowhook.registry.endpoint import DiscoveredEndpoint
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.xds.codec import MessageFormatError
 
--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -26,7 +26,7 @@
     parse_upstream,
 )
 from willowhook.nginx.verdicts import CARRIED, DIFFERS, NOT_CARRIED, REFUSED
-from willowhook.roster.forms import parse_endpoints
+from willowhook.registry.response import parse_endpoints
 from willowhook.trial import nginx_check
 from willowhook.trial.corpus import Sample, load_samples, verdict_errors
 from willowhook.xds import tables
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -13,7 +13,7 @@
 from willowhook.controlplane.update_validator import MIN_HOLD_TICKS
 from willowhook.controlplane.update_writer import FIRST_REWRITE_TICKS
 from willowhook.decisions.update_cost import SYNC_MARKER_ENTRIES
-from willowhook.roster.forms import DiscoveredEndpoint
+from willowhook.registry.endpoint import DiscoveredEndpoint
 from willowhook.ticks import TICKS_PER_SECOND
 from willowhook.validation.model import Candidate
 from willowhook.validation.verdict import Finding, Outcome, Rule, Verdict
--- a/willowhook/controlplane/clock.py
+++ b/willowhook/controlplane/clock.py
@@ -5,7 +5,7 @@
 import time
 
 from ..clock import monotonic_ticks
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..ticks import TICKS_PER_SECOND, ticks_from_seconds
 
 # Keeps the start of an endpoint positive even if it started before this machine booted.
--- a/willowhook/controlplane/endpoint_directory.py
+++ b/willowhook/controlplane/endpoint_directory.py
@@ -10,7 +10,7 @@
 
 from ..decisions.events import EndpointEntry, EndpointListReceived, EndpointState
 from ..membership.priority_tiers import PriorityTiers, TieredEndpoint
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..ticks import ticks_from_milliseconds
 from .context import ServiceContext
 from .resource_renderer import Address, ResourceRenderer
--- a/willowhook/controlplane/endpoint_list_reader.py
+++ b/willowhook/controlplane/endpoint_list_reader.py
@@ -8,8 +8,9 @@
 from ..decisions.timing import max_list_pause_ticks
 from ..files.layout import ENDPOINT_LIST_FILE
 from ..files.swap import read_file, swap_file
-from ..roster.forms import DiscoveredEndpoint, DiscoveryError, parse_endpoints
-from ..roster.reader import DiscoveryClient
+from ..registry.client import DiscoveryClient
+from ..registry.endpoint import DiscoveredEndpoint, DiscoveryError
+from ..registry.response import parse_endpoints
 from ..ticks import TICKS_PER_SECOND
 from .context import ServiceContext
 from .inbound_events import EndpointListFetched
--- a/willowhook/controlplane/evidence_recovery.py
+++ b/willowhook/controlplane/evidence_recovery.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from ..decisions.events import EndpointReport
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..ticks import TICKS_PER_MILLISECOND
 from .context import ServiceContext
 
--- a/willowhook/controlplane/health_checker.py
+++ b/willowhook/controlplane/health_checker.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..decisions.events import HealthCheckCompleted, HealthCheckOutcome
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..web.wire import ClientConnection, ConnectionLostError, open_connection
 from ..xds import orca
 from .context import ServiceContext
--- a/willowhook/controlplane/inbound_dispatcher.py
+++ b/willowhook/controlplane/inbound_dispatcher.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Sequence
 
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from .context import ServiceContext
 from .discovery_feed import DiscoveryFeed
 from .handoff_peers import HandoffPeers
--- a/willowhook/controlplane/inbound_events.py
+++ b/willowhook/controlplane/inbound_events.py
@@ -12,7 +12,7 @@
 
 from ..decisions.events import Event
 from ..membership.handoff import Packet
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..versions.resources import Resource, ResourceSet
 from .proxy_events import UpdateApplied
 
--- a/willowhook/controlplane/service.py
+++ b/willowhook/controlplane/service.py
@@ -19,7 +19,7 @@
 from ..files.swap import FileGroupWriter
 from ..files.watch import Watch, open_watch
 from ..records.writer import RecordWriter
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..ticks import ticks_from_milliseconds
 from ..versions.resources import ResourceStore, first_era
 from .clock import Clock
--- a/willowhook/controlplane/validation_context.py
+++ b/willowhook/controlplane/validation_context.py
@@ -10,7 +10,7 @@
 
 from ..decisions.runtime import AdmissionLimit
 from ..decisions.settings import DeploymentSettings, Route
-from ..roster.forms import DiscoveredEndpoint
+from ..registry.endpoint import DiscoveredEndpoint
 from ..ticks import TICKS_PER_SECOND
 from ..validation.model import (
     Candidate,
--- a/willowhook/roster/reader.py
+++ b/willowhook/registry/client.py
@@ -8,12 +8,13 @@
 
 from ..answer_time_limit import AnswerTimeLimit
 from ..web.wire import ClientConnection, ConnectionLostError, Reply, open_connection
-from .forms import BlockingQueryIndex, DiscoveredEndpoint, DiscoveryError, parse_endpoints
+from .blocking_query import BlockingQueryIndex
+from .endpoint import DiscoveredEndpoint, DiscoveryError
+from .response import parse_endpoints
 
 WAIT_SLACK = 1.0 / 16  # the registry may delay its response by up to this fraction of the wait
-MAX_TIMEOUT_FACTOR = (
-    4  # the longest time limit, for a registry that needs long, relative to the configured one
-)
+MAX_TIMEOUT_FACTOR = 4  # the longest time limit, relative to the configured one
+STATUS_OK = 200
 
 
 class DiscoveryClient:
@@ -43,7 +44,7 @@
         wait_seconds = self._wait_seconds if query_index.index else 0.0
         started_at = trio.current_time()
         response = await self._request((self._path + query).encode(), wait_seconds)
-        if response.status != 200:
+        if response.status != STATUS_OK:
             raise DiscoveryError(f"response status {response.status}")
         is_new = query_index.record_index(response.header(b"x-consul-index"))
         self._record_answer_time(trio.current_time() - started_at - wait_seconds, wait_seconds, is_new)
