Soak: discovery may work long on each request, and lists may lack most endpoints

A plan draws how long discovery works on each request (0, 0.3 or 0.8 s), and a disturbance answers with empty lists for a while.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -61,6 +61,7 @@
     RELOAD_AND_TERMINATE = auto()
     CHANGE_MODE = auto()
     LOSE_ANSWERS = auto()
+    LACK_ENDPOINTS = auto()
     RECONNECT = auto()
     BAD_CLIENTS = auto()
 
@@ -80,6 +81,7 @@
         overload_factor: the setting that limits how far slow start may overload an endpoint.
         sends_changes: whether service discovery answers a watch with the changed entries only.
         disturbances: the disturbances, in order.
+        answer_delay_s: how long service discovery works on each request.
     """
 
     seed: int
@@ -90,6 +92,7 @@
     overload_factor: float
     sends_changes: bool
     disturbances: tuple[Disturbance, ...]
+    answer_delay_s: float = 0.0
 
 
 def draw_plan(seed: int) -> SoakPlan:
@@ -104,6 +107,7 @@
         overload_factor=generator.choice([1.5, 3.0]),
         sends_changes=generator.random() < 0.5,
         disturbances=tuple(generator.choices([*Disturbance, *FREQUENT_DISTURBANCES], k=DISTURBANCES_PER_RUN)),
+        answer_delay_s=generator.choice([0.0, 0.0, 0.3, 0.8]),
     )
 
 
@@ -186,7 +190,7 @@
         self.plan = plan
         self.findings: list[str] = []
         self.random = random.Random(plan.seed + 1)
-        self.discovery = SoakDiscovery(random.Random(plan.seed + 2), plan.sends_changes)
+        self.discovery = SoakDiscovery(random.Random(plan.seed + 2), plan.sends_changes, plan.answer_delay_s)
         self.controllers = [self._make_controller(folder, number, arguments) for number in range(2)]
         self.proxies = [
             SoakProxy(
@@ -264,6 +268,7 @@
             Disturbance.RELOAD_AND_TERMINATE: self._reload_and_terminate,
             Disturbance.CHANGE_MODE: self._change_mode,
             Disturbance.LOSE_ANSWERS: self._lose_answers,
+            Disturbance.LACK_ENDPOINTS: self._lack_endpoints,
             Disturbance.RECONNECT: self._reconnect,
             Disturbance.BAD_CLIENTS: self._connect_bad_clients,
         }
@@ -347,6 +352,13 @@
         await trio.sleep(self.random.uniform(0.3, 2.5))
         self.discovery.mode = AnswerMode.GOOD
 
+    async def _lack_endpoints(self) -> None:
+        """Makes service discovery answer with empty lists until each controller was sent one."""
+        self.discovery.mode = AnswerMode.EMPTY
+        self._change_endpoint_list()
+        await trio.sleep(self.discovery.answer_delay_s + self.random.uniform(0.3, 0.6))
+        self.discovery.mode = AnswerMode.GOOD
+
     async def _lose_answers(self) -> None:
         """Makes an endpoint drain while the answers of service discovery are lost."""
         self.discovery.mode = AnswerMode.SILENT
--- a/tests/soak_discovery.py
+++ b/tests/soak_discovery.py
@@ -93,6 +93,7 @@
     Attributes:
         random: the generator of the delays.
         sends_changes: whether a watch is answered with the changed entries only.
+        answer_delay_s: how long it works on each request, after the wait for a change.
         endpoints: the endpoints by name, including those that have left.
         version: the present version of the list.
         mode: how requests are answered.
@@ -102,6 +103,7 @@
 
     random: random.Random
     sends_changes: bool
+    answer_delay_s: float = 0.0
     endpoints: dict[str, ListedEndpoint] = field(default_factory=dict)
     version: int = 1
     mode: AnswerMode = AnswerMode.GOOD
@@ -191,6 +193,7 @@
             self._record_lost_list(controller, requested_at, int(match[2]) / 1000 if match[2] else None)
             await trio.sleep(60)
             return False
+        await trio.sleep(self.answer_delay_s)
         if mode is AnswerMode.LATE:
             await trio.sleep(self.random.uniform(0.1, 0.9))
         version = self.version
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -111,6 +111,24 @@
     patch.object(ListRequests, "_schedule_request", schedule_later).start()
 
 
+def _cancel_requests_for_fetches() -> None:
+    """Fetches the complete list by the clock, in place of the request in flight."""
+    send_due = ListRequests.send_due
+
+    def send_due_by_the_clock(self: ListRequests, now: int) -> None:
+        send_due(self, now)
+        if self._is_fetching and self._fetch_at is None:
+            self.schedule_refetch(now)
+
+    def fetch_in_place(self: DiscoveryWatch) -> None:
+        self._wants_complete_list = True
+        self._resumed.set()
+        self._exchange_scope.cancel()
+
+    patch.object(ListRequests, "send_due", send_due_by_the_clock).start()
+    patch.object(DiscoveryWatch, "fetch_complete_list", fetch_in_place).start()
+
+
 def _ignore_message_cap() -> None:
     patch.object(MessageCap, "_has_room", lambda *_: True).start()
     patch.object(UpdatePacer, "can_send", lambda *_: True).start()
@@ -142,6 +160,7 @@
     "memory": Fault(_waste_memory, " MB"),
     "discovery followed once": Fault(_follow_discovery_once, "did not ask for the last list"),
     "long pauses after a loss": Fault(_pause_after_losses, "(leaving)"),
+    "fetches that cancel requests": Fault(_cancel_requests_for_fetches, "(leaving)"),
     "no message cap": Fault(_ignore_message_cap, "messages in"),
     "no slow start": Fault(_ignore_slow_start, "of the weight of a warm one"),
     "nobody rejected": Fault(_reject_nobody, "bad client"),
