--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -74,7 +74,11 @@
         self._connection_server = self._server._sessions.connections
 
     def _discovery_client(
-        self, address: object, handle_answer: Callable[..., int], handle_loss: Callable[..., None]
+        self,
+        address: object,
+        handle_answer: Callable[..., int],
+        handle_loss: Callable[..., None],
+        seconds_until_fetch: Callable[[], float],
     ) -> ControllerDriver:
         self._handle_answer, self._handle_loss = handle_answer, handle_loss
         return self
