--- a/tests/test_platform_slow_discovery.py
+++ b/tests/test_platform_slow_discovery.py
@@ -92,9 +92,12 @@
 
 
 async def wait_until_logged(controller: ControllerProcess, text: str) -> None:
-    with trio.fail_after(5):
-        while text not in controller.read_log():
-            await trio.sleep(0.02)
+    try:
+        with trio.fail_after(5):
+            while text not in controller.read_log():
+                await trio.sleep(0.02)
+    except trio.TooSlowError as error:
+        raise AssertionError(f"no line with {text!r} within 5 s, log:\n{controller.read_log()}") from error
 
 
 async def expect_exclusion_in_time(controller: ControllerProcess, proxy: Peer, endpoint: str) -> None:
