--- a/tests/test_config_and_registry.py
+++ b/tests/test_config_and_registry.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from functools import partial
 from typing import Any
 
@@ -19,7 +21,7 @@
 from willowhook.registry.client import DiscoveryClient
 from willowhook.registry.endpoint import DiscoveryError
 from willowhook.registry.response import parse_endpoints
-from willowhook.web.wire import Call, Reply, serve_connection
+from willowhook.web.wire import Call, Reply, RequestHandler, serve_connection
 
 EXAMPLE_DOCUMENT = json.loads(msgspec.json.encode(EXAMPLE))
 
@@ -160,6 +162,15 @@
         query_index.record_index(None)
 
 
+@asynccontextmanager
+async def serving_registry(answer: RequestHandler) -> AsyncIterator[str]:
+    """Serves a service registry; returns its URL."""
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(partial(trio.serve_tcp, partial(serve_connection, answer=answer), 0))
+        yield f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+
+
 def test_discovery_client_waits_for_changes_and_reports_every_failure() -> None:
     registry = {"index": 5, "mode": "good"}
     targets: list[bytes] = []
@@ -177,12 +188,8 @@
         return Reply(200, headers, body)
 
     async def scenario() -> None:
-        async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(
-                partial(trio.serve_tcp, partial(serve_connection, answer=answer), 0)
-            )
-            port = listeners[0].socket.getsockname()[1]
-            client = DiscoveryClient(f"http://127.0.0.1:{port}/x", "tasks", 0.1, 0.15)
+        async with serving_registry(answer) as url:
+            client = DiscoveryClient(f"{url}/x", "tasks", 0.1, 0.15)
             first = await client.fetch(True)
             assert first is not None and first[0].id == "a" and targets[0] == b"/x/v1/health/service/tasks"
             assert await client.fetch(False) is None and b"index=5&wait=0.1s" in targets[-1]
@@ -198,7 +205,6 @@
                 await client.fetch(False)
             registry["mode"] = "good"
             assert await client.fetch(True) is not None
-            nursery.cancel_scope.cancel()
         with pytest.raises(DiscoveryError, match="no response"):
             await client.fetch(True)
 
@@ -217,18 +223,13 @@
         return Reply(200, [(b"x-consul-index", b"5")], json.dumps([entry()]).encode())
 
     async def scenario() -> None:
-        async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(
-                partial(trio.serve_tcp, partial(serve_connection, answer=answer), 0)
-            )
-            port = listeners[0].socket.getsockname()[1]
-            client = DiscoveryClient(f"http://127.0.0.1:{port}", "tasks", 0.1, 0.15)
+        async with serving_registry(answer) as url:
+            client = DiscoveryClient(url, "tasks", 0.1, 0.15)
             for _ in range(3):
                 with pytest.raises(DiscoveryError, match="no response"):
                     await client.fetch(True)
             for _ in range(3):  # the limit follows what the registry needs
                 assert await client.fetch(True) is not None
-            nursery.cancel_scope.cancel()
 
     trio.run(scenario)
     assert request_count == 6
--- a/tests/test_platform_discovery_watch.py
+++ b/tests/test_platform_discovery_watch.py
@@ -5,7 +5,8 @@
 import json
 import math
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
@@ -84,6 +85,16 @@
         return int(fields["seq"])
 
 
+@asynccontextmanager
+async def another_discovery() -> AsyncIterator[FakeDiscovery]:
+    """Serves another discovery server, to which the watch may be moved."""
+    async with trio.open_nursery() as nursery:
+        discovery = FakeDiscovery()
+        await nursery.start(discovery.serve)
+        yield discovery
+        nursery.cancel_scope.cancel()
+
+
 def run_scenario(scenario: Scenario) -> None:
     async def main() -> None:
         async with trio.open_nursery() as nursery:
@@ -174,9 +185,7 @@
 
 def test_address_change_from_the_answer_handler_requests_at_the_new_address() -> None:
     async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
-        async with trio.open_nursery() as nursery:
-            new = FakeDiscovery()
-            await nursery.start(new.serve)
+        async with another_discovery() as new:
             _, stream = await discovery.next_request()
             recorder.while_handling = lambda: recorder.watch.set_address(
                 Address("127.0.0.1", new.port)
@@ -184,16 +193,13 @@
             await send_answer(stream, 8)
             target, stream = await new.next_request()
             assert "after=8" in target and not recorder.losses
-            nursery.cancel_scope.cancel()
 
     run_scenario(scenario)
 
 
 def test_address_change_after_a_loss_requests_at_the_new_address_immediately() -> None:
     async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
-        async with trio.open_nursery() as nursery:
-            new = FakeDiscovery()
-            await nursery.start(new.serve)
+        async with another_discovery() as new:
             _, stream = await discovery.next_request()
             await trio.sleep(0.15)  # longer than IDLE_CLOSE_S, so the close is a loss
             await stream.aclose()
@@ -203,7 +209,6 @@
             recorder.watch.set_address(Address("127.0.0.1", new.port))  # during the controller's backoff
             target, _ = await new.next_request()
             assert "after=7" in target
-            nursery.cancel_scope.cancel()
 
     run_scenario(scenario)
 
@@ -212,9 +217,7 @@
     """Guards against a fetched list that is forgotten because discovery moved before its answer."""
 
     async def scenario(discovery: FakeDiscovery, recorder: WatchRecorder) -> None:
-        async with trio.open_nursery() as nursery:
-            new = FakeDiscovery()
-            await nursery.start(new.serve)
+        async with another_discovery() as new:
             _, stream = await discovery.next_request()
             recorder.watch.fetch_complete_list()
             await send_answer(stream, 8)
@@ -226,7 +229,6 @@
             await send_answer(stream, 9)
             target, _ = await new.next_request()
             assert "after=9" in target
-            nursery.cancel_scope.cancel()
 
     run_scenario(scenario)
 
--- a/willowhook/decisions/endpoint_list.py
+++ b/willowhook/decisions/endpoint_list.py
@@ -40,9 +40,8 @@
         self._bucket_ticks = context.bucket_ticks
         self._rules = context.settings.rules
         self._received_lists = 0
-        self._unlisted_since: dict[
-            str, int
-        ] = {}  # when the first list came that lacked them; still in service
+        # Endpoints that are kept in service although a list lacked them: when the first such list came.
+        self._unlisted_since: dict[str, int] = {}
 
     def handle_list(self, now: int, event: EndpointListReceived) -> None:
         """Applies a complete list, or a set of changes to the list."""
@@ -59,7 +58,7 @@
         """Removes an endpoint that fails, if a list lacked it and it was kept because it answered."""
         if endpoint.name in self._unlisted_since and not self._is_answering(now, endpoint):
             self._runtime.log(f"unlisted endpoint removed endpoint={endpoint.name}")
-            self._remove(endpoint.name, self._unlisted_since[endpoint.name])
+            self._remove(now, endpoint.name)
 
     def forget_removed(self, now: int) -> None:
         """Drops removed endpoints some time after their exclusion, once no table has an entry for them."""
@@ -109,27 +108,26 @@
         missing = [name for name in self._fleet.endpoints if name not in listed]
         in_service = [endpoint for endpoint in self._fleet.endpoints.values() if endpoint.is_in_service]
         missing_in_service = [endpoint for endpoint in in_service if endpoint.name not in listed]
-        unlisted_since = {
-            endpoint.name: self._unlisted_since.get(endpoint.name, now) for endpoint in missing_in_service
+        is_implausible = 2 * len(missing_in_service) > len(in_service)
+        kept = {
+            endpoint.name: self._unlisted_since.get(endpoint.name, now)
+            for endpoint in missing_in_service
+            if is_implausible and self._is_answering(now, endpoint)
         }
-        self._unlisted_since = {}
-        if 2 * len(missing_in_service) > len(in_service):
-            self._unlisted_since = {
-                endpoint.name: unlisted_since[endpoint.name]
-                for endpoint in missing_in_service
-                if self._is_answering(now, endpoint)
-            }
-            missing = [name for name in missing if name not in self._unlisted_since]
+        removed = [name for name in missing if name not in kept]
+        for name in removed:
+            self._remove(now, name)
+        self._unlisted_since = kept
+        if is_implausible:
             self._requests.schedule_refetch(now)
             self._runtime.log(
                 f"endpoint list implausible listed={len(listed)} in_service={len(in_service)} "
-                f"removed={len(missing)}"
+                f"removed={len(removed)}"
             )
-        for name in missing:
-            self._remove(name, unlisted_since.get(name, now))
 
-    def _remove(self, name: str, unlisted_since: int) -> None:
-        self._unlisted_since.pop(name, None)
+    def _remove(self, now: int, name: str) -> None:
+        """Removes an endpoint; its exclusion counts from the first list that lacked it."""
+        unlisted_since = self._unlisted_since.pop(name, now)
         self._fleet.endpoints[name].set_state(EndpointState.REMOVED)
         self._exclusions.record_change(unlisted_since, name)
 
