Status line and log: entries charged to the channel beside entries sent

The status line has both sums and the largest flush; a flush of a third of the queue limit or more has a line of its own.

--- a/tests/test_platform_status_log.py
+++ b/tests/test_platform_status_log.py
@@ -13,6 +13,7 @@
 from willowhook.platform.discovery_statistics import DiscoveryStatistics
 from willowhook.platform.fields import MalformedFieldError
 from willowhook.platform.status_log import ServerStatus, format_status
+from willowhook.platform.update_statistics import UpdateStatistics
 
 
 def test_status_line_has_figures_as_key_value_pairs() -> None:
@@ -22,6 +23,7 @@
         load_fraction=0.618,
         admitted_fraction=1.4,
         queue_entries=12.4,
+        charged_entries=950,
     )
     status = ServerStatus(
         proxies=12,
@@ -31,11 +33,13 @@
         malformed_messages=2,
         rejected_connections=3,
         discovery=DiscoveryStatistics(requests=58, answers=5, losses=2),
+        updates=UpdateStatistics(messages=90, entries=940, largest_flush_entries=310),
     )
     line = format_status(status)
     assert re.fullmatch(
         r"status proxies=12 endpoints_in_service=190 endpoints=200 load=0\.62 admitted_fraction=1\.40 "
-        r"queue_entries=12 connections=14 memory_mb=\d+ cpu_s=\d+\.\d longest_flush_ms=8 "
+        r"queue_entries=12 charged_entries=950 sent_entries=940 largest_flush_entries=310 "
+        r"connections=14 memory_mb=\d+ cpu_s=\d+\.\d longest_flush_ms=8 "
         r"malformed_messages=2 rejected_connections=3 "
         r"discovery_requests=58 discovery_answers=5 discovery_losses=2",
         line,
--- a/willowhook/decisions/channel.py
+++ b/willowhook/decisions/channel.py
@@ -45,6 +45,7 @@
         entries_per_tick: the channel's stated rate.
         overhead_entries: the cost of a message that carries only its sync marker.
         queued: entries in the queue if the channel has kept its stated rate.
+        charged_entries: entries charged since the start.
         last_marker: the marker of the last flush.
         overdue: entries of messages whose acknowledgement is overdue.
         pending: by proxy, the entries charged since the last flush.
@@ -60,6 +61,7 @@
         self.message_cap = MessageCap(settings)
         self._max_delay_ticks = settings.max_delay_ticks
         self.queued = 0.0
+        self.charged_entries = 0
         self.overdue = 0.0
         self._possibly_waiting = 0.0  # entries not proven to have left the queue
         self._certainly_waiting = 0.0  # those of them that cannot be in transit at the stated rate
@@ -103,6 +105,7 @@
     def charge(self, proxies: Sequence[int], entries: int) -> None:
         """Charges this many entries for each of these proxies to the next flush."""
         cost = self.cost(proxies, entries)
+        self.charged_entries += cost
         self.queued += cost
         self._certainly_waiting += cost
         self._possibly_waiting += cost
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -163,6 +163,7 @@
             load_fraction=self._load.last_utilization(now),
             admitted_fraction=self.admission.admitted_fraction,
             queue_entries=self.channel.queue_estimate(),
+            charged_entries=self.channel.charged_entries,
         )
 
     def handle(self, now: int, event: Event) -> None:
--- a/willowhook/decisions/status.py
+++ b/willowhook/decisions/status.py
@@ -14,6 +14,7 @@
         load_fraction: share of cores in use at the busiest table, at the last evaluation.
         admitted_fraction: admitted share of the work of all requests; 1.4 while no load is shed.
         queue_entries: estimated number of entries that wait in the channel.
+        charged_entries: entries charged to the channel since the start.
     """
 
     endpoints_in_service: int
@@ -21,3 +22,4 @@
     load_fraction: float
     admitted_fraction: float
     queue_entries: float
+    charged_entries: int
--- a/willowhook/platform/control_loop.py
+++ b/willowhook/platform/control_loop.py
@@ -10,6 +10,8 @@
 from ..ticks import TICKS_PER_SECOND
 from .clock import Clock
 from .proxy_updates import ProxyUpdates
+from .runtime import WriteLog
+from .update_statistics import UpdateStatistics
 
 MIN_FLUSH_INTERVAL_S = 0.004  # events within this interval form one batch
 PAUSE_PER_FLUSH_TIME = 3.0  # pause after a flush, per duration of the flush; connections are read in it
@@ -24,19 +26,31 @@
         updates: collects the commands on tables and proxies until the flush.
         evaluations: holds the times of scheduled evaluations.
         clock: the clock for the times of events and flushes.
+        large_flush_entries: the size from which on a flush is logged.
+        write_log: writes one line to the log.
 
     Attributes:
+        statistics: counts of the updates sent.
         longest_flush_ticks: the longest duration of a flush, evaluations included, since the last reset.
     """
 
     def __init__(
-        self, controller: Controller, updates: ProxyUpdates, evaluations: EvaluationTimer, clock: Clock
+        self,
+        controller: Controller,
+        updates: ProxyUpdates,
+        evaluations: EvaluationTimer,
+        clock: Clock,
+        large_flush_entries: float,
+        write_log: WriteLog,
     ) -> None:
+        self.statistics = UpdateStatistics()
         self.longest_flush_ticks = 0
         self._controller = controller
         self._updates = updates
         self._evaluations = evaluations
         self._clock = clock
+        self._large_flush_entries = large_flush_entries
+        self._write_log = write_log
         self._woken = trio.Event()
 
     def submit(self, event: Event) -> None:
@@ -71,6 +85,18 @@
         started_at = self._clock.now()
         while self._evaluations.pop_due(started_at):
             self._controller.handle(started_at, EvaluationDue())
+        charged_before = self._controller.channel.charged_entries
         self._controller.flush(started_at)
-        self._updates.flush()
+        charged_entries = self._controller.channel.charged_entries - charged_before
+        self._record_flush(self._updates.flush(), charged_entries)
         return self._clock.now() - started_at
+
+    def _record_flush(self, sent_entries: dict[int, int], charged_entries: int) -> None:
+        self.statistics.record_flush(sent_entries)
+        flush_entries = sum(sent_entries.values())
+        if flush_entries >= self._large_flush_entries:
+            self._write_log(
+                f"large flush messages={len(sent_entries)} charged_entries={charged_entries} "
+                f"sent_entries={flush_entries} largest_message_entries={max(sent_entries.values())} "
+                f"queue_entries={self._controller.queue_estimate():.0f}"
+            )
--- a/willowhook/platform/proxy_updates.py
+++ b/willowhook/platform/proxy_updates.py
@@ -12,6 +12,7 @@
 
 from ..decisions.runtime import AdmissionLimit
 from ..decisions.settings import DeploymentSettings
+from ..decisions.update_cost import message_overhead
 from .update_encoder import EncodedParts, UpdateEncoder
 
 
@@ -106,6 +107,7 @@
 
     def __init__(self, settings: DeploymentSettings, send: SendUpdate) -> None:
         self._encoder = UpdateEncoder(settings)
+        self._overhead_entries = message_overhead(settings.channel)
         self._send = send
         self._tables: dict[int, CommandedTable] = {}
         self._sessions: dict[int, SessionUpdates] = {}
@@ -213,20 +215,28 @@
 
     # The end of a batch.
 
-    def flush(self) -> None:
-        """Sends one message to each proxy that is affected by the commands since the last flush."""
+    def flush(self) -> dict[int, int]:
+        """Sends one message to each proxy that is affected by the commands since the last flush.
+
+        Returns the entries that the platform counts for each message, by proxy.
+        """
         cache = FlushCache()
+        sent_entries: dict[int, int] = {}
         for proxy in list(self._pending):
             session = self._sessions.get(proxy)
             if session is None:
                 continue  # the session was closed while a message was sent to another proxy
-            self._send_pending(proxy, session, cache)
+            entry_count = self._send_pending(proxy, session, cache)
+            if entry_count is not None:
+                sent_entries[proxy] = self._overhead_entries + entry_count
         for table in self._tables.values():
             table.forget_changes()
         self._pending.clear()
         self._sync_marker = None
+        return sent_entries
 
-    def _send_pending(self, proxy: int, session: SessionUpdates, cache: FlushCache) -> None:
+    def _send_pending(self, proxy: int, session: SessionUpdates, cache: FlushCache) -> int | None:
+        """Sends the pending updates of a session; returns their entries, or None if there are none."""
         frames: list[bytes] = []
         entry_count = 0
         for table in session.bound_tables():
@@ -234,10 +244,12 @@
             frames += parts.frames
             entry_count += parts.entry_count
         if not frames and not session.pending_exclusions and self._sync_marker is None:
-            return
+            return None
         last_part = self._encode_last_part(session, cache)
-        self._send(proxy, EncodedParts(frames + last_part.frames, entry_count + last_part.entry_count))
+        entry_count += last_part.entry_count
+        self._send(proxy, EncodedParts(frames + last_part.frames, entry_count))
         session.mark_sent()
+        return entry_count
 
     def _encode_table(
         self, table: int, proxy: int, session: SessionUpdates, cache: FlushCache
--- a/willowhook/platform/server.py
+++ b/willowhook/platform/server.py
@@ -28,6 +28,8 @@
 from .runtime import PlatformRuntime, WriteLog
 from .status_log import ServerStatus, log_status_periodically
 
+LARGE_FLUSH_FRACTION = 1 / 3  # a flush with this share of the channel's queue limit is logged
+
 
 class PlatformServer:
     """Creates the components of a server and connects them. It does not listen before `run`.
@@ -65,7 +67,10 @@
             updates, self._sessions.end_session, self._discovery, evaluations, write_log
         )
         self._controller = Controller(runtime, settings, configuration.seed, self._clock.now())
-        self._loop = ControlLoop(self._controller, updates, evaluations, self._clock)
+        large_flush_entries = settings.channel.queue_limit_entries * LARGE_FLUSH_FRACTION
+        self._loop = ControlLoop(
+            self._controller, updates, evaluations, self._clock, large_flush_entries, write_log
+        )
         self._load_endpoint_list(configuration.endpoint_list)
 
     async def run(self) -> None:
@@ -112,6 +117,7 @@
             malformed_messages=self._sessions.malformed_count,
             rejected_connections=self._sessions.connections.rejected_count,
             discovery=self._discovery.statistics,
+            updates=self._loop.statistics,
         )
         self._loop.longest_flush_ticks = 0
         return status
--- a/willowhook/platform/status_log.py
+++ b/willowhook/platform/status_log.py
@@ -12,6 +12,7 @@
 from ..ticks import TICKS_PER_MILLISECOND
 from .discovery_statistics import DiscoveryStatistics
 from .runtime import WriteLog
+from .update_statistics import UpdateStatistics
 
 STATUS_INTERVAL_S = 10.0
 
@@ -28,6 +29,7 @@
         malformed_messages: number of messages refused since the start.
         rejected_connections: number of connections rejected since the start.
         discovery: counts of the requests to service discovery since the start.
+        updates: counts of the updates sent since the start.
     """
 
     proxies: int
@@ -37,6 +39,7 @@
     malformed_messages: int
     rejected_connections: int
     discovery: DiscoveryStatistics
+    updates: UpdateStatistics
 
 
 def format_status(status: ServerStatus) -> str:
@@ -52,6 +55,9 @@
         f"load={controller.load_fraction:.2f}",
         f"admitted_fraction={controller.admitted_fraction:.2f}",
         f"queue_entries={controller.queue_entries:.0f}",
+        f"charged_entries={controller.charged_entries}",
+        f"sent_entries={status.updates.entries}",
+        f"largest_flush_entries={status.updates.largest_flush_entries}",
         f"connections={status.connections}",
         f"memory_mb={peak_memory_mb}",
         f"cpu_s={cpu_s:.1f}",
