Binds: each is checked with its exact cost before it is issued, also in a join burst

Cause: in a join burst the number of binds was computed once, as free entries over the cost of a table of the wanted size, and then made without a limit (math.inf). The tables were up to seven times larger: subset tables that lost all endpoints had taken all others.

Change: every bind is reckoned from the tables, exclusions and readmissions that it will carry, and is issued only if the queue's upper estimate has room for it (QueueLimits.has_room). The same holds at the end of a burst.

--- a/willowhook/decisions/binding.py
+++ b/willowhook/decisions/binding.py
@@ -10,12 +10,13 @@
 import math
 
 from .context import ControllerContext
+from .model import EndpointTable
 from .pending_binds import PendingBinds
 from .readmissions import SessionReadmissions
 from .subsets import SubsetAssigner, SubsetMode
 from .table_updates import TableUpdater
 from .timing import urgent_after_ticks
-from .update_cost import bind_cost
+from .update_cost import UPDATE_ENTRIES, bind_cost
 from .weight_solver import STEP_INTERVAL_TICKS
 
 BIND_COST_MARGIN_ENTRIES = 1  # added to the estimated cost of a bind, which must not be too low
@@ -35,6 +36,7 @@
         self._fleet = context.fleet
         self._runtime = context.runtime
         self._channel = context.channel
+        self._limits = context.limits
         self._pending_binds = pending_binds
         self._readmissions = readmissions
         self._subsets = subsets
@@ -78,11 +80,11 @@
         all earlier exclusions.
         """
         never_bound = [proxy for proxy in due if proxy not in self._fleet.subset_of]
-        if self._subsets.is_burst(never_bound):
-            self.bind_in_order(now, self._subsets.assign_burst(now, never_bound), math.inf)
+        if self._subsets.is_burst(never_bound) and self._subsets.assign_burst(now, never_bound):
+            self.bind_in_order(now, never_bound, math.inf)
 
     def bind_in_order(self, now: int, due: list[int], limit: float) -> None:
-        """Binds these pending proxies in order while the queue is shorter than the limit."""
+        """Binds these pending proxies in order while the queue is shorter than the limit and has room."""
         if due and self._channel.queue_estimate() < limit:
             # updating a table that no proxy uses costs nothing, so do it before the first bind
             unused = [table for table in self._fleet.tables if not self._fleet.users(table)]
@@ -90,7 +92,8 @@
         for proxy in due:
             if self._channel.queue_estimate() >= limit:
                 break
-            self._bind(now, proxy)
+            if not self._bind(now, proxy, self._subsets.assigned(proxy)):
+                break
             self._pending_binds.remove(proxy)
 
     def end_burst(self, now: int, limit: float) -> None:
@@ -100,19 +103,28 @@
         while self._subsets.mode is SubsetMode.JOIN_BURST:
             if self._channel.queue_estimate() >= limit:
                 return
-            proxy = self._subsets.release_next()
-            if proxy in self._fleet.proxies:
-                self._bind(now, proxy)
+            proxy = self._subsets.next_assigned()
+            if proxy in self._fleet.proxies and not self._bind(now, proxy, None):
+                return
+            self._subsets.release(proxy)
         self._fleet.tables = list(self._fleet.default_tables)
 
-    def _bind(self, now: int, proxy: int) -> None:
-        subset = self._subsets.assigned(proxy)
-        self._fleet.subset_of[proxy] = subset
+    def _bind(self, now: int, proxy: int, subset: int | None) -> bool:
+        """Binds a proxy to the tables of a subset; returns False if the queue has no room for them."""
         tables = self._fleet.tables_for(proxy, subset)
-        self._readmissions.readmit_at(now, proxy, tables)
+        readmitted = self._readmissions.due_with_bind(now, proxy, tables, subset)
+        entries = len(readmitted) * UPDATE_ENTRIES + sum(map(self._table_cost, tables))
+        if not self._limits.has_room(self._channel.cost([proxy], entries)):
+            return False
+        self._fleet.subset_of[proxy] = subset
+        self._readmissions.readmit_with_bind(proxy, readmitted, subset)
         for table in tables:
             self._runtime.bind(proxy, table.number, table.routes)
-            excluded = sum(self._fleet.endpoints[name].is_excluded for name in table.entries)
-            cost = bind_cost(len(table.entries), len(table.limits), excluded)
-            self._channel.charge([proxy], cost + BIND_COST_MARGIN_ENTRIES)
+            self._channel.charge([proxy], self._table_cost(table))
             table.pending_resend = dict.fromkeys(table.entries)
+        return True
+
+    def _table_cost(self, table: EndpointTable) -> int:
+        """Returns the cost of binding a proxy to a table as it is now, without the message overhead."""
+        excluded = sum(self._fleet.endpoints[name].is_excluded for name in table.entries)
+        return bind_cost(len(table.entries), len(table.limits), excluded) + BIND_COST_MARGIN_ENTRIES
--- a/willowhook/decisions/queue_limits.py
+++ b/willowhook/decisions/queue_limits.py
@@ -30,6 +30,13 @@
         """Returns the limit for updates that keep the rules on draining endpoints and on empty tables."""
         return self._settings.queue_limit_entries * EXCLUSION_FRACTION
 
+    def has_room(self, cost: int) -> bool:
+        """Whether updates of this cost keep the queue within its limit, however slow the channel is.
+
+        Every update has to pass this check before it is issued, with the exact cost of its content.
+        """
+        return self._channel.queue_ceiling() + cost <= self.for_exclusions()
+
     def for_binds(self) -> float:
         """Returns the limit for binds: from a sixth to a third of the queue.
 
--- a/willowhook/decisions/readmissions.py
+++ b/willowhook/decisions/readmissions.py
@@ -80,20 +80,27 @@
         if len(self._dropped) > MAX_DROPPED_NAMES:
             del self._dropped[next(iter(self._dropped))]
 
-    def readmit_at(self, now: int, proxy: int, tables: list[EndpointTable]) -> None:
-        """Readmits, at a proxy bound to these tables, what another controller may have excluded there."""
+    def due_with_bind(
+        self, now: int, proxy: int, tables: list[EndpointTable], subset: int | None
+    ) -> list[str]:
+        """Returns what another controller may have excluded at a proxy that is bound to these tables."""
         if proxy not in self._unbound:
-            return
+            return []
         since = now - self._fleet.settings.rules.slow_start_ticks
         endpoints = [
             endpoint.name
             for endpoint in self._fleet.endpoints.values()
             if _is_open(endpoint) and _returned_at(endpoint) > since
         ]
-        if self._fleet.subset_of[proxy] is None:
-            del self._unbound[proxy]
-        else:  # endpoints outside its subset are readmitted once it is bound to the default tables
+        if subset is not None:
+            # endpoints outside its subset are readmitted once it is bound to the default tables
             endpoints = [name for name in endpoints if any(name in table.entries for table in tables)]
+        return endpoints
+
+    def readmit_with_bind(self, proxy: int, endpoints: list[str], subset: int | None) -> None:
+        """Readmits the endpoints that `due_with_bind` returned."""
+        if subset is None:
+            self._unbound.pop(proxy, None)
         self._readmit(proxy, endpoints)
 
     def join_weight(self, proxies: list[int], endpoint: str) -> None:
--- a/willowhook/decisions/subsets.py
+++ b/willowhook/decisions/subsets.py
@@ -44,7 +44,6 @@
         self._fleet = context.fleet
         self._runtime = context.runtime
         self._channel = context.channel
-        self._limits = context.limits
         self._random_fraction = context.random_fraction
         self._weights = weights
         self._assigned: dict[int, int] = {}  # by proxy, the subset it is assigned to
@@ -87,27 +86,25 @@
         cost = self._channel.cost(waiting, entries)
         return self._channel.queue_estimate() + cost > self._entries_in_time()
 
-    def assign_burst(self, now: int, waiting: list[int]) -> list[int]:
-        """Assigns waiting proxies to random subsets; returns those whose binds fit in the queue now."""
+    def assign_burst(self, now: int, waiting: list[int]) -> bool:
+        """Assigns waiting proxies to random subsets; returns whether they can be bound to them now."""
         if self.mode is SubsetMode.OFF:
             if self._fleet.has_subset_bindings():
-                return []  # the table numbers in use would be assigned again
+                return False  # the table numbers in use would be assigned again
             self._endpoints_per_subset = self._burst_table_size(len(waiting))
             self._make_tables(now, self._endpoints_per_subset)
             self._runtime.log(f"join burst began waiting={len(waiting)} subsets={self._subset_count}")
         assignments = {proxy: self._draw_subset() for proxy in waiting}
         self._assigned = assignments | self._assigned
-        routes = len(self._fleet.settings.routes)
-        table_cost = TABLE_OVERHEAD_ENTRIES + self._endpoints_per_subset + routes
-        cost = self._channel.overhead_entries + len(self._tables_per_proxy) * table_cost
-        free_entries = self._limits.for_exclusions() - self._channel.queue_ceiling()
-        return waiting[: max(0, int(free_entries / cost))]
-
-    def release_next(self) -> int:
-        """Removes the next proxy of a join burst from its subset, and returns the proxy."""
-        proxy = next(iter(self._assigned))
+        return True
+
+    def next_assigned(self) -> int:
+        """Returns the proxy of a join burst that has been assigned to its subset for longest."""
+        return next(iter(self._assigned))
+
+    def release(self, proxy: int) -> None:
+        """Removes a proxy of a join burst from its subset."""
         del self._assigned[proxy]
-        return proxy
 
     def _burst_table_size(self, waiting: int) -> int:
         """Returns the largest size that binds all expected proxies in time, at least the bootstrap size."""
