Join burst: subset tables stay as small as the burst can afford

Cause: a subset table that lost all its endpoints was opened to all others (members = []), up to 44 where 4 were wanted; and one number of subsets, taken from the mean zone, served zones of unequal size, so the tables of a large zone, or of one without endpoints that takes those of all others, were larger than wanted.

Change: lost members are replaced by others dealt the same way, at most as many as wanted; in a burst the number of subsets follows the largest zone. A connection limit deals as before.

--- a/tests/decisions/test_subsets.py
+++ b/tests/decisions/test_subsets.py
@@ -3,9 +3,22 @@
 from __future__ import annotations
 
 import pytest
-from builders import DRAINING, SECOND, settings_with, start_fleet
+from builders import (
+    DRAINING,
+    REMOVED,
+    SECOND,
+    SETTINGS,
+    WARM,
+    ControllerHarness,
+    settings_with,
+    start_fleet,
+)
 
-from willowhook.decisions.subsets import FIRST_CONNECTION_LIMIT_TICKS, SubsetMode
+from willowhook.decisions.subsets import (
+    FIRST_CONNECTION_LIMIT_TICKS,
+    MIN_ENDPOINTS,
+    SubsetMode,
+)
 
 
 def test_join_burst_is_bound_to_subsets_first_and_to_default_tables_later() -> None:
@@ -127,3 +140,43 @@
     first_limit = [second for second in limited_seconds if second < 200]
     second_limit = [second for second in limited_seconds if second >= 200]
     assert len(first_limit) == len(second_limit) == FIRST_CONNECTION_LIMIT_TICKS // SECOND
+
+
+def start_zonal_burst(listed: list[str], proxies: int = 100) -> ControllerHarness:
+    """Returns a controller with tables for each zone, and proxies of both zones that have joined at once."""
+    routes = tuple(route._replace(allowed_classes=()) for route in SETTINGS.routes)
+    settings = settings_with(routes=routes, fleet__cross_zone_price=0.08, fleet__proxy_count=proxies)
+    harness = ControllerHarness(settings)
+    harness.receive_endpoint_list({name: WARM for name in listed})
+    harness.advance(SECOND)
+    for proxy in range(proxies):
+        harness.join_proxy(proxy)
+    harness.flush()
+    assert harness.controller.subsets.mode is SubsetMode.JOIN_BURST
+    return harness
+
+
+def subset_table_sizes(harness: ControllerHarness) -> set[int]:
+    """Returns the numbers of usable endpoints in the subset tables."""
+    subset_tables = [table for table in harness.controller.fleet.tables if table.subset is not None]
+    return {len(harness.usable_weights(table.number)) for table in subset_tables}
+
+
+# Guards against subset tables that hold all other endpoints after they have lost their own.
+def test_subset_tables_that_lost_their_endpoints_stay_small() -> None:
+    harness = start_zonal_burst([f"h{k}" for k in range(80)])
+    largest_before = max(subset_table_sizes(harness))
+    southern = {f"h{k}": (REMOVED, 0) for k in range(1, 80, 2)}
+    harness.receive_endpoint_list(southern, is_complete=False)
+    harness.advance(SECOND)
+    assert harness.controller.subsets.mode is SubsetMode.JOIN_BURST
+    sizes = subset_table_sizes(harness)
+    assert min(sizes) >= MIN_ENDPOINTS and max(sizes) <= largest_before
+
+
+# Guards against subset tables that are larger than a join burst can afford, as one zone has most endpoints.
+def test_subset_tables_of_unequal_zones_are_no_larger_than_those_of_equal_zones() -> None:
+    sizes_of_equal_zones = subset_table_sizes(start_zonal_burst([f"h{k}" for k in range(44)]))
+    mostly_northern = [f"h{k}" for k in range(0, 80, 2)] + [f"h{k}" for k in range(1, 9, 2)]
+    sizes = subset_table_sizes(start_zonal_burst(mostly_northern))
+    assert min(sizes) >= MIN_ENDPOINTS and max(sizes) <= max(sizes_of_equal_zones)
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -128,6 +128,7 @@
             self._pacer,
             self.pending_binds,
             self._binder,
+            self.subsets,
             self.exclusions,
             self._reminders,
             self._readmissions,
--- a/willowhook/decisions/subsets.py
+++ b/willowhook/decisions/subsets.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 from ..ticks import TICKS_PER_SECOND
@@ -92,7 +93,8 @@
             if self._fleet.has_subset_bindings():
                 return False  # the table numbers in use would be assigned again
             self._endpoints_per_subset = self._burst_table_size(len(waiting))
-            self._make_tables(now, self._endpoints_per_subset)
+            self._subset_count = self._burst_subset_count(now)
+            self._make_tables(now)
             self._runtime.log(f"join burst began waiting={len(waiting)} subsets={self._subset_count}")
         assignments = {proxy: self._draw_subset() for proxy in waiting}
         self._assigned = assignments | self._assigned
@@ -114,6 +116,11 @@
         affordable = int(entries / len(self._tables_per_proxy)) - TABLE_OVERHEAD_ENTRIES
         return max(MIN_BURST_ENDPOINTS, self._fleet.settings.fleet.bootstrap_table_size, affordable)
 
+    def _burst_subset_count(self, now: int) -> int:
+        """Returns the number of subsets with which no subset table exceeds the wanted size."""
+        sizes = [len(self._best_endpoints(now, table)) for table in self._fleet.default_tables]
+        return max(1, *(math.ceil(size / self._endpoints_per_subset) for size in sizes))
+
     def _entries_in_time(self) -> float:
         """Returns the entries that the channel carries within the share of the drain grace for binds."""
         grace = self._fleet.settings.rules.drain_grace_ticks
@@ -140,7 +147,11 @@
             self._next_limit_ticks = FIRST_CONNECTION_LIMIT_TICKS
         self._limited_until = now + self._next_limit_ticks
         self._next_limit_ticks *= 2
-        self._make_tables(now, MIN_ENDPOINTS)
+        self._endpoints_per_subset = MIN_ENDPOINTS
+        zones = len({table.zone for table in self._fleet.default_tables})
+        in_service = sum(endpoint.is_in_service for endpoint in self._fleet.endpoints.values())
+        self._subset_count = max(1, in_service // (MIN_ENDPOINTS * zones))
+        self._make_tables(now)
         # alternating the direction balances the traffic: proxies are sorted by their request rate
         subset_order = [*range(self._subset_count), *reversed(range(self._subset_count))]
         proxies = self._fleet.proxies
@@ -165,15 +176,24 @@
     def _draw_subset(self) -> int:
         return int(self._random_fraction() * self._subset_count)
 
-    def _make_tables(self, now: int, endpoints_per_subset: int) -> None:
-        """Adds tables for subsets with this many endpoints each to the default tables."""
+    def replace_lost_members(self, now: int) -> None:
+        """Gives subset tables that lost all their endpoints others, at most as many as were wanted."""
+        for table in self._fleet.tables:
+            if table.subset is None or not table.entries:
+                continue
+            if self._fleet.has_only_excluded_entries(table):
+                table.members = []  # any, if none is usable
+                usable = self._usable_endpoints(now, table)
+                if usable:
+                    members = self._members(table.subset, self._by_locality(table, usable))
+                    table.members = members[: self._endpoints_per_subset]
+
+    def _make_tables(self, now: int) -> None:
+        """Adds the tables of all subsets to the default tables."""
         fleet = self._fleet
         fleet.tables = list(fleet.default_tables)
         if not fleet.has_subset_bindings():
             self._last_table_number = len(fleet.default_tables)
-        zones = len({table.zone for table in fleet.default_tables})
-        in_service = sum(endpoint.is_in_service for endpoint in fleet.endpoints.values())
-        self._subset_count = max(1, in_service // (endpoints_per_subset * zones))
         for table in fleet.default_tables:
             endpoints = self._best_endpoints(now, table)
             for subset in range(self._subset_count if endpoints else 0):
@@ -185,20 +205,38 @@
         subset_table = EndpointTable(
             self._last_table_number, table.routes, table.requirements, table.zone, subset
         )
-        end = max(len(endpoints), subset + 1 + self._subset_count * (MIN_ENDPOINTS - 1))
-        positions = range(subset, end, self._subset_count)
-        subset_table.members = [endpoints[position % len(endpoints)] for position in positions]
+        subset_table.members = self._members(subset, endpoints)
         return subset_table
 
+    def _members(self, subset: int, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Deals endpoints to the subsets in turn; where they are few, some belong to several subsets."""
+        minimum = min(MIN_ENDPOINTS, len(endpoints))
+        positions = dict.fromkeys(range(subset, len(endpoints), self._subset_count))
+        following = range(subset, subset + self._subset_count * minimum, self._subset_count)
+        for position in (*following, *range(subset, subset + len(endpoints))):
+            if len(positions) >= minimum:
+                break
+            positions[position % len(endpoints)] = None
+        return [endpoints[position] for position in positions]
+
     def _best_endpoints(self, now: int, table: EndpointTable) -> list[Endpoint]:
         """Returns the endpoints allowed in a table, usable and local ones if there are any, largest first."""
-        fleet = self._fleet
-        eligible = [endpoint for endpoint in fleet.endpoints.values() if fleet.is_eligible(table, endpoint)]
-        usable = [
+        candidates = self._usable_endpoints(now, table) or self._eligible_endpoints(table)
+        return self._by_locality(table, candidates)
+
+    def _eligible_endpoints(self, table: EndpointTable) -> list[Endpoint]:
+        endpoints = self._fleet.endpoints.values()
+        return [endpoint for endpoint in endpoints if self._fleet.is_eligible(table, endpoint)]
+
+    def _usable_endpoints(self, now: int, table: EndpointTable) -> list[Endpoint]:
+        return [
             endpoint
-            for endpoint in eligible
+            for endpoint in self._eligible_endpoints(table)
             if self._weights.weight(now, table, endpoint) and not endpoint.is_excluded
         ]
-        candidates = usable or eligible
+
+    @staticmethod
+    def _by_locality(table: EndpointTable, candidates: list[Endpoint]) -> list[Endpoint]:
+        """Returns the local candidates, or all if none is local; the largest first."""
         local = [endpoint for endpoint in candidates if table.is_for_zone(endpoint.zone)]
         return sorted(local or candidates, key=lambda endpoint: -endpoint.capacity * endpoint.latency_factor)
--- a/willowhook/decisions/table_updates.py
+++ b/willowhook/decisions/table_updates.py
@@ -125,8 +125,6 @@
         for table in self._fleet.tables:
             may_send = self._channel.can_message(now, self._fleet.users(table))
             if may_send and self._fleet.has_only_excluded_entries(table):
-                if table.entries:
-                    table.members = []  # a subset table that lost all its endpoints may use any
                 self._locality.rebalance(now, table)
                 self.update(now, [table], limit)
 
--- a/willowhook/decisions/update_sequence.py
+++ b/willowhook/decisions/update_sequence.py
@@ -18,6 +18,7 @@
 from .queue_limits import SHORT_QUEUE_FRACTION
 from .readmissions import SessionReadmissions
 from .reminders import ExclusionReminders
+from .subsets import SubsetAssigner
 from .table_updates import TableUpdater
 
 
@@ -30,6 +31,7 @@
         pacer: UpdatePacer,
         pending_binds: PendingBinds,
         binder: ProxyBinder,
+        subsets: SubsetAssigner,
         exclusions: EndpointExclusions,
         reminders: ExclusionReminders,
         readmissions: SessionReadmissions,
@@ -44,6 +46,7 @@
         self._pacer = pacer
         self._pending_binds = pending_binds
         self._binder = binder
+        self._subsets = subsets
         self._exclusions = exclusions
         self._reminders = reminders
         self._readmissions = readmissions
@@ -105,6 +108,7 @@
         all_reminded = self._reminders.send_if_due(now)
         if not all_reminded:
             self._binder.stop_holding_back()  # a bind carries the exclusions that did not fit
+        self._subsets.replace_lost_members(now)
         self._updater.fill_empty_tables(now, self._limits.for_exclusions())
 
     def _update_tables(
