Update cost: an overhead that is not whole is rounded up

The stated overhead of a message may be a fraction; int() rounded it down, so each message was charged up to one entry less than it costs.

--- a/willowhook/decisions/update_cost.py
+++ b/willowhook/decisions/update_cost.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from .settings import ChannelSettings
 
 UPDATE_ENTRIES = 1  # a weight, admission limit, exclusion or readmission, for one proxy
@@ -16,7 +18,7 @@
 
 def message_overhead(channel: ChannelSettings) -> int:
     """Returns the cost of a message without content, in entries."""
-    return int(channel.message_overhead_entries)
+    return math.ceil(channel.message_overhead_entries)
 
 
 def bind_cost(entries: int, limits: int, excluded: int) -> int:
