Platform: an exclusion is not sent to proxies whose entry leaves in the same message

An endpoint whose entry was removed earlier in a flush was also excluded at the users of the table; the controller charged nothing for that, as the entry was gone. Seen in test_channel_bound: 15 exclusions in a message that was charged 11 entries and held 23.5. The removal is in the same message, so the exclusion is not needed.

--- a/willowhook/platform/proxy_updates.py
+++ b/willowhook/platform/proxy_updates.py
@@ -35,11 +35,8 @@
     changed_routes: dict[int, None] = field(default_factory=dict)
 
     def holds(self, endpoint: str) -> bool:
-        """Whether a proxy that uses the table may hold an entry for an endpoint.
-
-        This includes an entry whose removal has not been sent yet.
-        """
-        return endpoint in self.weights or endpoint in self.changed_weights
+        """Whether a proxy that uses the table has an entry for an endpoint after the next flush."""
+        return endpoint in self.weights
 
     def forget_changes(self) -> None:
         """Discards the changes, once they have been sent to all sessions."""
