Subsets: each bound proxy uses the tables that the controller takes it to use

Cause: three ways in which the controller's tables parted from those that proxies hold, so that exclusions went to proxies uncharged. A connection limit that began during a join burst numbered its subsets from 0 again, so proxies of the burst were taken to use other tables; a proxy that was away kept a subset that had ended; route groups without an eligible endpoint had no subset table, and their proxies counted as bound to nothing.

Change: subsets have new numbers while earlier ones are in use, and the earlier tables stay meanwhile; assignments of absent proxies are dropped; every group has its tables.

--- a/tests/decisions/test_subsets.py
+++ b/tests/decisions/test_subsets.py
@@ -14,12 +14,15 @@
     start_fleet,
 )
 
+from willowhook.decisions.load import LoadSample
 from willowhook.decisions.subsets import (
     FIRST_CONNECTION_LIMIT_TICKS,
     MIN_ENDPOINTS,
     SubsetMode,
 )
 
+REFUSING = LoadSample(0.2, 0.2, 100.0, 0.1, 0.1, 0.1)  # idle and fast, while most attempts fail
+
 
 def test_join_burst_is_bound_to_subsets_first_and_to_default_tables_later() -> None:
     changes = {"exclusions_outlive_sessions": True, "rules__slow_start_ticks": SECOND}
@@ -180,3 +183,47 @@
     mostly_northern = [f"h{k}" for k in range(0, 80, 2)] + [f"h{k}" for k in range(1, 9, 2)]
     sizes = subset_table_sizes(start_zonal_burst(mostly_northern))
     assert min(sizes) >= MIN_ENDPOINTS and max(sizes) <= max(sizes_of_equal_zones)
+
+
+def tables_in_use(harness: ControllerHarness, proxy: int) -> set[int]:
+    """Returns the tables that the controller takes a bound proxy to use."""
+    fleet = harness.controller.fleet
+    return {table.number for table in fleet.tables_for(proxy, fleet.subset_of[proxy])}
+
+
+# Guards against proxies that are taken to use the tables of a later subset with the same number.
+def test_connection_limit_during_a_join_burst_keeps_the_tables_that_are_in_use() -> None:
+    harness = start_zonal_burst([f"h{k}" for k in range(80)])
+    controller = harness.controller
+    controller.subsets.limit_connections(harness.now, REFUSING)
+    controller.pending_binds.rebind_all(harness.now, controller.fleet.proxies)
+    harness.flush()
+    bound = list(controller.fleet.subset_of)
+    assert bound
+    for proxy in bound:
+        assert tables_in_use(harness, proxy) == set(harness.runtime.bindings[proxy].values())
+
+
+# Guards against proxies that are bound to no table, as their subset ended while they were away.
+def test_proxy_that_was_away_as_a_connection_limit_began_is_bound_to_a_present_subset() -> None:
+    harness = start_zonal_burst([f"h{k}" for k in range(80)])
+    controller = harness.controller
+    harness.remove_proxy(7)
+    controller.subsets.limit_connections(harness.now, REFUSING)
+    controller.pending_binds.rebind_all(harness.now, controller.fleet.proxies)
+    harness.join_proxy(7)
+    harness.advance(3 * SECOND)
+    assert tables_in_use(harness, 7) == set(harness.runtime.bindings[7].values()) != set()
+
+
+# Guards against proxies that count as bound to a subset, but are bound to no table.
+def test_proxies_without_an_eligible_endpoint_are_bound_to_empty_tables_in_a_join_burst() -> None:
+    harness = start_zonal_burst([f"h{k}" for k in range(80)])
+    controller = harness.controller
+    for number in range(80):
+        harness.receive_endpoint_list({f"h{number}": (DRAINING, 0)}, is_complete=False)
+    controller.subsets.limit_connections(harness.now, REFUSING)
+    controller.pending_binds.rebind_all(harness.now, controller.fleet.proxies)
+    harness.advance(3 * SECOND)
+    for proxy in controller.fleet.subset_of:
+        assert tables_in_use(harness, proxy) == set(harness.runtime.bindings[proxy].values()) != set()
--- a/willowhook/decisions/subsets.py
+++ b/willowhook/decisions/subsets.py
@@ -48,6 +48,7 @@
         self._random_fraction = context.random_fraction
         self._weights = weights
         self._assigned: dict[int, int] = {}  # by proxy, the subset it is assigned to
+        self._first_subset = 0
         self._subset_count = 1
         self._endpoints_per_subset = MIN_ENDPOINTS
         self._last_table_number = len(context.fleet.default_tables)
@@ -152,8 +153,9 @@
         in_service = sum(endpoint.is_in_service for endpoint in self._fleet.endpoints.values())
         self._subset_count = max(1, in_service // (MIN_ENDPOINTS * zones))
         self._make_tables(now)
+        self._assigned = {}  # also of proxies that have left, whose subsets may not exist any more
         # alternating the direction balances the traffic: proxies are sorted by their request rate
-        subset_order = [*range(self._subset_count), *reversed(range(self._subset_count))]
+        subset_order = [*self._subsets(), *reversed(self._subsets())]
         proxies = self._fleet.proxies
         for zone in dict.fromkeys(table.zone for table in self._fleet.default_tables):
             local = [proxy for proxy, session in proxies.items() if zone is None or session.zone == zone]
@@ -174,12 +176,16 @@
     # Tables.
 
     def _draw_subset(self) -> int:
-        return int(self._random_fraction() * self._subset_count)
+        return self._subsets()[int(self._random_fraction() * self._subset_count)]
+
+    def _subsets(self) -> range:
+        """Returns the subsets that proxies are assigned to now."""
+        return range(self._first_subset, self._first_subset + self._subset_count)
 
     def replace_lost_members(self, now: int) -> None:
         """Gives subset tables that lost all their endpoints others, at most as many as were wanted."""
         for table in self._fleet.tables:
-            if table.subset is None or not table.entries:
+            if table.subset is None or (table.members and not table.entries):
                 continue
             if self._fleet.has_only_excluded_entries(table):
                 table.members = []  # any, if none is usable
@@ -189,14 +195,18 @@
                     table.members = members[: self._endpoints_per_subset]
 
     def _make_tables(self, now: int) -> None:
-        """Adds the tables of all subsets to the default tables."""
+        """Adds the tables of new subsets; those of earlier subsets stay while proxies are bound to them."""
         fleet = self._fleet
-        fleet.tables = list(fleet.default_tables)
-        if not fleet.has_subset_bindings():
+        in_use = [table for table in fleet.tables if table.subset is not None and fleet.users(table)]
+        fleet.tables = [*fleet.default_tables, *in_use]
+        self._first_subset = 1 + max(
+            (subset for subset in fleet.subset_of.values() if subset is not None), default=-1
+        )
+        if not in_use:
             self._last_table_number = len(fleet.default_tables)
         for table in fleet.default_tables:
             endpoints = self._best_endpoints(now, table)
-            for subset in range(self._subset_count if endpoints else 0):
+            for subset in self._subsets():
                 fleet.tables.append(self._make_table(table, subset, endpoints))
 
     def _make_table(self, table: EndpointTable, subset: int, endpoints: list[Endpoint]) -> EndpointTable:
@@ -211,9 +221,10 @@
     def _members(self, subset: int, endpoints: list[Endpoint]) -> list[Endpoint]:
         """Deals endpoints to the subsets in turn; where they are few, some belong to several subsets."""
         minimum = min(MIN_ENDPOINTS, len(endpoints))
-        positions = dict.fromkeys(range(subset, len(endpoints), self._subset_count))
-        following = range(subset, subset + self._subset_count * minimum, self._subset_count)
-        for position in (*following, *range(subset, subset + len(endpoints))):
+        first = subset % self._subset_count
+        positions = dict.fromkeys(range(first, len(endpoints), self._subset_count))
+        following = range(first, first + self._subset_count * minimum, self._subset_count)
+        for position in (*following, *range(first, first + len(endpoints))):
             if len(positions) >= minimum:
                 break
             positions[position % len(endpoints)] = None
