Queue limit: limits, weights and readmissions ask for room with their exact cost

Binds, exclusions and reminders asked the queue's upper estimate before they were sent; admission limits asked nothing, weights compared the queue before the update with the limit and could overshoot it by an entry or a message at every user, overdue readmissions likewise, and a weight did not count the readmissions that join it, nor the exclusions that it adds to the complete table of a proxy bound in the same flush.

Change: each of these passes QueueLimits.has_room with its exact cost or waits for a later flush.

--- a/willowhook/decisions/binding.py
+++ b/willowhook/decisions/binding.py
@@ -117,6 +117,7 @@
         if not self._limits.has_room(self._channel.cost([proxy], entries)):
             return False
         self._fleet.subset_of[proxy] = subset
+        self._fleet.newly_bound.add(proxy)
         self._readmissions.readmit_with_bind(proxy, readmitted, subset)
         for table in tables:
             self._runtime.bind(proxy, table.number, table.routes)
--- a/willowhook/decisions/exclusions.py
+++ b/willowhook/decisions/exclusions.py
@@ -157,12 +157,12 @@
         age_ticks = max((now - self._changed[endpoint.name] for endpoint in waiting), default=0)
         if age_ticks < self._batch_interval_ticks:
             return True
-        if self._fits(self._cost_at_most(waiting)):
+        if self._limits.has_room(self._cost_at_most(waiting)):
             return False
         # no single exclusions while the queue drains: a message should carry as many entries as its overhead
         worth_a_message = waiting[: self._channel.overhead_entries]
         may_wait = age_ticks < MAX_BATCH_INTERVALS * self._batch_interval_ticks
-        return may_wait or not self._fits(self._cost_at_most(worth_a_message))
+        return may_wait or not self._limits.has_room(self._cost_at_most(worth_a_message))
 
     def _cost_at_most(self, endpoints: list[Endpoint]) -> int:
         """Returns the maximum cost of excluding all of these at the proxies that may use them."""
@@ -189,7 +189,7 @@
         Returns False if the queue limit or the message cap does not allow it.
         """
         holders = self.holders(endpoint.name)
-        if not self._can_send(now, holders, UPDATE_ENTRIES):
+        if not self._can_send(now, holders, self._channel.cost(holders, UPDATE_ENTRIES)):
             return False
         endpoint.is_excluded = True
         endpoint.exclusion_changed_at = now
@@ -205,7 +205,8 @@
         """
         proxies = list(self._fleet.proxies)
         tables = self._fleet.tables_with(endpoint.name)
-        if not self._can_send(now, proxies, UPDATE_ENTRIES * (1 + len(tables))):
+        cost = self._channel.cost(proxies, UPDATE_ENTRIES * (1 + len(tables)))
+        if not self._can_send(now, proxies, cost):
             return False
         self._set_weights(now, endpoint, tables)
         endpoint.is_excluded = False
@@ -217,8 +218,13 @@
     def _send_weights(self, now: int, endpoint: Endpoint) -> bool:
         """Sends the current weights of an endpoint; returns False if the channel does not allow it."""
         tables = self._fleet.tables_with(endpoint.name)
-        users = [*dict.fromkeys(proxy for table in tables for proxy in self._fleet.users(table))]
-        if not self._can_send(now, users, UPDATE_ENTRIES * len(tables)):
+        users_by_table = [self._fleet.users(table) for table in tables]
+        users = [*dict.fromkeys(proxy for table_users in users_by_table for proxy in table_users)]
+        weight = 1.0  # stands for any weight but 0
+        cost = sum(
+            self._updater.weight_cost(table_users, endpoint.name, weight) for table_users in users_by_table
+        )
+        if not self._can_send(now, users, cost):
             return False
         self._set_weights(now, endpoint, tables)
         return True
@@ -228,11 +234,8 @@
             weight = self._weights.weight(now, table, endpoint)
             self._updater.set_weight(table, self._fleet.users(table), endpoint.name, weight)
 
-    def _can_send(self, now: int, proxies: list[int], entries: int) -> bool:
-        return self._fits(self._channel.cost(proxies, entries)) and self._channel.can_message(now, proxies)
-
-    def _fits(self, cost: int) -> bool:
-        return self._channel.queue_ceiling() + cost <= self._limits.for_exclusions()
+    def _can_send(self, now: int, proxies: list[int], cost: int) -> bool:
+        return self._limits.has_room(cost) and self._channel.can_message(now, proxies)
 
 
 def _is_usable(endpoint: Endpoint) -> bool:
--- a/willowhook/decisions/fleet.py
+++ b/willowhook/decisions/fleet.py
@@ -18,6 +18,7 @@
         default_tables: one for each group of routes that allow the same endpoints, and each zone if needed.
         tables: the default tables and the subset tables, if any.
         subset_of: subset of each bound proxy; None if it uses the default tables.
+        newly_bound: proxies bound since the last flush, which are sent complete tables.
     """
 
     def __init__(self, settings: DeploymentSettings) -> None:
@@ -27,6 +28,7 @@
         self.default_tables = build_default_tables(settings)
         self.tables = list(self.default_tables)
         self.subset_of: dict[int, int | None] = {}
+        self.newly_bound: set[int] = set()
 
     @property
     def absent_proxies(self) -> int:
@@ -37,6 +39,7 @@
         """Removes a proxy that has left, and its binding."""
         self.proxies.pop(proxy, None)
         self.subset_of.pop(proxy, None)
+        self.newly_bound.discard(proxy)
 
     def users(self, table: EndpointTable) -> list[int]:
         """Returns the proxies that are bound to a table."""
--- a/willowhook/decisions/readmissions.py
+++ b/willowhook/decisions/readmissions.py
@@ -36,6 +36,7 @@
         self._fleet = context.fleet
         self._runtime = context.runtime
         self._channel = context.channel
+        self._limits = context.limits
         self._is_active = context.settings.exclusions_outlive_sessions
         self._max_wait_ticks = context.settings.rules.slow_start_ticks // WAITS_PER_SLOW_START
         self._from_elsewhere: dict[int, None] = {}  # proxies from another controller
@@ -103,6 +104,13 @@
             self._unbound.pop(proxy, None)
         self._readmit(proxy, endpoints)
 
+    def count_joining(self, proxies: list[int], endpoint: str) -> int:
+        """Returns at how many of these proxies `join_weight` would readmit an endpoint."""
+        since_by_proxy = self._pending.get(endpoint)
+        if not since_by_proxy or not _is_open(self._fleet.endpoints[endpoint]):
+            return 0
+        return sum(proxy in since_by_proxy for proxy in proxies)
+
     def join_weight(self, proxies: list[int], endpoint: str) -> None:
         """Readmits an endpoint where it is pending among these proxies, in the message of its weight."""
         since_by_proxy = self._pending.get(endpoint)
@@ -120,6 +128,8 @@
         for proxy, endpoints in self._overdue(now).items():
             if self._channel.queue_estimate() >= limit:
                 return
+            if not self._limits.has_room(self._channel.cost([proxy], len(endpoints) * UPDATE_ENTRIES)):
+                return
             for endpoint in endpoints:
                 del self._pending[endpoint][proxy]
             self._readmit(proxy, endpoints)
--- a/willowhook/decisions/table_updates.py
+++ b/willowhook/decisions/table_updates.py
@@ -90,6 +90,7 @@
         self._fleet = context.fleet
         self._runtime = context.runtime
         self._channel = context.channel
+        self._limits = context.limits
         self._weights = weights
         self._locality = locality
         self._admission = admission
@@ -109,16 +110,18 @@
             limit: the queue limit, in entries.
 
         Returns:
-            Whether changed weights are left to send.
+            Whether changed weights or admission limits are left to send.
         """
         planned: list[PlannedChange] = []
         fractions = self._admission.route_fractions()
+        are_limits_sent = True
         for table in tables:
             users = self._fleet.users(table)
-            self._send_limits(table, users, fractions)
+            are_limits_sent &= self._send_limits(table, users, fractions)
             planned += self._plan(now, table, users)
         planned.sort(key=lambda planned_change: planned_change.sort_key)
-        return self._send(now, planned, limit)
+        has_changes_left = self._send(now, planned, limit)
+        return has_changes_left or not are_limits_sent
 
     def fill_empty_tables(self, now: int, limit: float) -> None:
         """Fills tables without a usable endpoint: new tables, and tables that lost all their endpoints."""
@@ -128,22 +131,43 @@
                 self._locality.rebalance(now, table)
                 self.update(now, [table], limit)
 
+    def weight_cost(self, users: list[int], endpoint: str, weight: float) -> int:
+        """Returns the cost of `set_weight`, with the readmissions that join it."""
+        cost = self._channel.cost(users, UPDATE_ENTRIES)
+        if weight > 0:
+            excluding = self._excluding(users, endpoint)
+            cost += UPDATE_ENTRIES * (len(excluding) + self._readmissions.count_joining(users, endpoint))
+        return cost
+
     def set_weight(self, table: EndpointTable, users: list[int], endpoint: str, weight: float) -> None:
         """Sends one weight to the users of a table; 0 removes the entry."""
         self._runtime.set_weight(table.number, endpoint, weight)
         self._channel.charge(users, UPDATE_ENTRIES)
+        if weight > 0:
+            self._channel.charge(self._excluding(users, endpoint), UPDATE_ENTRIES)
         table.pending_resend.pop(endpoint, None)
         table.entries.pop(endpoint, None)
         if weight > 0:
             table.entries[endpoint] = weight
             self._readmissions.join_weight(users, endpoint)
 
-    def _send_limits(self, table: EndpointTable, users: list[int], fractions: list[float]) -> None:
+    def _excluding(self, users: list[int], endpoint: str) -> list[int]:
+        """Returns the users whose bind in this flush has to exclude an endpoint that enters the table."""
+        if not self._fleet.endpoints[endpoint].is_excluded:
+            return []
+        return [proxy for proxy in users if proxy in self._fleet.newly_bound]
+
+    def _send_limits(self, table: EndpointTable, users: list[int], fractions: list[float]) -> bool:
+        """Sends changed admission limits; returns False if the queue has no room for one."""
         for route, admission in self._admission.limits(table, fractions).items():
-            if _differs(table.limits.get(route), admission):
-                self._runtime.set_admission(table.number, route, admission)
-                table.limits[route] = admission
-                self._channel.charge(users, UPDATE_ENTRIES)
+            if not _differs(table.limits.get(route), admission):
+                continue
+            if users and not self._limits.has_room(self._channel.cost(users, UPDATE_ENTRIES)):
+                return False
+            self._runtime.set_admission(table.number, route, admission)
+            table.limits[route] = admission
+            self._channel.charge(users, UPDATE_ENTRIES)
+        return True
 
     def _plan(self, now: int, table: EndpointTable, users: list[int]) -> list[PlannedChange]:
         changes = self._changes(now, table, users)
@@ -160,7 +184,8 @@
         resent_entries = 0
         for _, table, users, change in planned:
             is_resend = change.urgency is Urgency.RESEND
-            if users and (self._channel.queue_estimate() >= limit or (is_resend and not has_only_resends)):
+            is_full = self._channel.queue_estimate() >= limit or not self._has_room(users, change)
+            if users and (is_full or (is_resend and not has_only_resends)):
                 has_changes_left = not is_resend
                 break
             if is_resend:
@@ -170,6 +195,9 @@
         self._resend_at = max(self._resend_at, now + pause_ticks)
         return has_changes_left
 
+    def _has_room(self, users: list[int], change: WeightChange) -> bool:
+        return self._limits.has_room(self.weight_cost(users, change.endpoint, change.weight))
+
     def _changes(self, now: int, table: EndpointTable, users: list[int]) -> list[WeightChange]:
         """Returns the weight changes of a table that are worth sending."""
         weights = self._weights.weights(now, table)
--- a/willowhook/decisions/update_sequence.py
+++ b/willowhook/decisions/update_sequence.py
@@ -66,6 +66,7 @@
             has_messaged_all = self._fleet.proxies.keys() == self._channel.pending.keys()
             if has_messaged_all:
                 self._send_updates(now)
+        self._fleet.newly_bound.clear()
         if self._channel.pending:
             self._runtime.send_sync_marker(self._channel.flush(now))
             if has_messaged_all:
