Channel estimate: messages of a session that the controller ended go on counting

By the protocol, what waits in the channel stays counted if the controller ends a session; the estimate dropped it, so the room was used twice. A proxy whose own stream breaks is dropped as before.

ProxyLeft says who ended the session: a connection that is closed because too much is queued for it, or whose proxy acknowledges nothing, is ended by this side; such messages stay until a later flush proves that they have left, or they count as lost.

--- a/tests/decisions/test_channel.py
+++ b/tests/decisions/test_channel.py
@@ -30,6 +30,22 @@
     assert channel.queue_ceiling() == channel.unproven_entries() == 0
 
 
+# Guards against a queue that is taken to be short because the controller ended sessions.
+def test_messages_of_a_session_that_the_controller_ended_count_until_they_are_proven() -> None:
+    channel = joined_channel(3)
+    channel.charge([0, 1], 300)
+    channel.flush(0)
+    channel.remove_proxy(0, is_still_counted=True)
+    channel.remove_proxy(1)  # its stream broke, so its messages no longer count
+    channel.advance_queue_estimate(3000)
+    assert channel.queue_ceiling() == channel.unproven_entries() == 307
+    channel.charge([2], 10)
+    channel.flush(3000)
+    channel.acknowledge(4000, 2, 2)  # proves that the first flush has left
+    channel.advance_queue_estimate(4000)
+    assert channel.unproven_entries() == 0
+
+
 def test_queue_ceiling_counts_all_entries_not_proven_to_have_left() -> None:
     channel = joined_channel(2)
     channel.charge([0, 1], 300)
--- a/tests/test_channel_bound.py
+++ b/tests/test_channel_bound.py
@@ -305,7 +305,7 @@
         for proxy in self.runtime.ended_sessions:
             del self.joined[proxy]
             self.runtime.close_session(proxy)
-            self.controller.handle(self.now, ProxyLeft(proxy))
+            self.controller.handle(self.now, ProxyLeft(proxy, is_ended_by_controller=True))
         self.runtime.ended_sessions.clear()
 
 
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -7,7 +7,12 @@
 import trio
 
 from willowhook.platform.address import Address
-from willowhook.platform.connection import MAX_FIRST_MESSAGE_BYTES, Connection, PeerRole
+from willowhook.platform.connection import (
+    MAX_FIRST_MESSAGE_BYTES,
+    MAX_QUEUED_BYTES,
+    Connection,
+    PeerRole,
+)
 from willowhook.platform.connection_server import ConnectionServer
 from willowhook.platform.fields import Fields
 from willowhook.platform.framing import encode_frame
@@ -87,3 +92,29 @@
     assert harness.server.rejected_count == 1 and harness.server.open_count == 0
     assert harness.peer.recv(99) == REJECTION and harness.peer.recv(1) == b""
     harness.peer.close()
+
+
+# Guards against the loss of a peer's own leaving, and against counting it as one of this side.
+def test_close_tells_whether_this_side_ended_the_connection() -> None:
+    ended_here: list[bool] = []
+
+    async def main() -> None:
+        server = ConnectionServer(
+            Address("127.0.0.1", 0), 99, lambda *_: None, lambda each: ended_here.append(each.is_ended_here)
+        )
+        async with trio.open_nursery() as nursery:
+            server._nursery = nursery
+            for reads_nothing in (True, False):
+                accepted, peer = socket.socketpair()
+                accepted.setblocking(False)
+                connection = server.add_connection(accepted)
+                connection.role = PeerRole.PROXY
+                if not reads_nothing:
+                    peer.close()
+                while connection.is_open:
+                    server.send(connection, bytes(MAX_QUEUED_BYTES // 4))
+                peer.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert ended_here == [True, False]
--- a/willowhook/decisions/channel.py
+++ b/willowhook/decisions/channel.py
@@ -59,6 +59,7 @@
         self.pending: dict[int, int] = {}
         self.unacknowledged: dict[int, list[SentMessage]] = {}
         self.message_cap = MessageCap(settings)
+        self._of_ended_sessions: list[SentMessage] = []  # sessions that this controller ended
         self._max_delay_ticks = settings.max_delay_ticks
         self.queued = 0.0
         self.charged_entries = 0
@@ -77,9 +78,15 @@
         self.unacknowledged[proxy] = []
         self.message_cap.add_proxy(proxy)
 
-    def remove_proxy(self, proxy: int) -> None:
-        """Drops the state of a proxy that has left."""
-        self.unacknowledged.pop(proxy, None)
+    def remove_proxy(self, proxy: int, *, is_still_counted: bool = False) -> None:
+        """Drops the state of a proxy that has left.
+
+        Its messages in the queue are dropped as well, unless they are still counted: then they stay until
+        they are proven to have left, or lost.
+        """
+        messages = self.unacknowledged.pop(proxy, [])
+        if is_still_counted:
+            self._of_ended_sessions += messages
         self.message_cap.remove_proxy(proxy)
 
     def queue_estimate(self) -> float:
@@ -177,7 +184,14 @@
         return given_up
 
     def _unproven_messages(self) -> Iterator[SentMessage]:
+        self._of_ended_sessions = [
+            message for message in self._of_ended_sessions if self._is_unproven(message)
+        ]
+        yield from self._of_ended_sessions
         for messages in self.unacknowledged.values():
             for message in messages:
-                if message.flush > self._last_proven_flush and message.due_at > self._lost_before:
+                if self._is_unproven(message):
                     yield message
+
+    def _is_unproven(self, message: SentMessage) -> bool:
+        return message.flush > self._last_proven_flush and message.due_at > self._lost_before
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -181,7 +181,7 @@
             case ProxyJoined():
                 self._add_proxy(now, event)
             case ProxyLeft():
-                self._remove_proxy(event.proxy)
+                self._remove_proxy(event)
             case EndpointListReceived():
                 self._endpoint_list.handle_list(now, event)
             case EndpointListLost():
@@ -270,10 +270,11 @@
         self.pending_binds.add(now, proxy, event.usual_rate_per_second, event.is_fresh)
         self.subsets.add_proxy(proxy)
 
-    def _remove_proxy(self, proxy: int) -> None:
+    def _remove_proxy(self, event: ProxyLeft) -> None:
+        proxy = event.proxy
         self._demand.forget_proxy(proxy)
         self.fleet.remove_proxy(proxy)
-        self.channel.remove_proxy(proxy)
+        self.channel.remove_proxy(proxy, is_still_counted=event.is_ended_by_controller)
         self._reminders.remove_proxy(proxy)
         self._readmissions.remove_proxy(proxy)
         self.pending_binds.remove(proxy)
--- a/willowhook/decisions/events.py
+++ b/willowhook/decisions/events.py
@@ -47,9 +47,16 @@
 
 
 class ProxyLeft(NamedTuple):
-    """A proxy's session with this controller has ended."""
+    """A proxy's session with this controller has ended.
+
+    Attributes:
+        proxy: number of the proxy.
+        is_ended_by_controller: whether this controller closed the connection; the messages to the proxy that
+            wait in the channel then go on counting.
+    """
 
     proxy: int
+    is_ended_by_controller: bool = False
 
 
 class EndpointEntry(NamedTuple):
--- a/willowhook/platform/connection.py
+++ b/willowhook/platform/connection.py
@@ -41,6 +41,8 @@
         role: the role with which the peer has identified itself; None if it has not.
         proxy: the number of the proxy, if `role` is PROXY; else None.
         is_open: whether the connection has not been closed with `close`.
+        is_ended_here: whether it is closed for a reason of this side: the session is ended, or too much is
+            queued; else the peer, or the path to it, has failed.
         is_sending_queue: whether a task is running `send_queue`.
         decoder: decodes the bytes that the peer sends.
     """
@@ -52,6 +54,7 @@
         self.role: PeerRole | None = None
         self.proxy: int | None = None
         self.is_open = True
+        self.is_ended_here = False
         self.is_sending_queue = False
         self.decoder = FrameDecoder(MAX_FIRST_MESSAGE_BYTES)
         self._queue: deque[bytes] = deque()
@@ -88,7 +91,8 @@
             data = data[sent_bytes:]
         self._queue.append(data)
         self._queued_bytes += len(data)
-        return self._queued_bytes <= MAX_QUEUED_BYTES
+        self.is_ended_here = self._queued_bytes > MAX_QUEUED_BYTES
+        return not self.is_ended_here
 
     async def send_queue(self) -> None:
         """Sends the queued bytes as the kernel accepts them, until none is left or the connection ends."""
--- a/willowhook/platform/proxy_sessions.py
+++ b/willowhook/platform/proxy_sessions.py
@@ -63,6 +63,7 @@
         """Closes the connection of a proxy, if it has one, and submits its `ProxyLeft` immediately."""
         connection = self._connection_by_proxy.get(proxy)
         if connection is not None:
+            connection.is_ended_here = True
             self.connections.close(connection)
 
     def _handle_message(self, connection: Connection, fields: Fields) -> None:
@@ -114,7 +115,7 @@
             return
         del self._connection_by_proxy[proxy]
         self.updates.close_session(proxy)
-        self._submit(ProxyLeft(proxy))
+        self._submit(ProxyLeft(proxy, connection.is_ended_here))
 
     def _send_update(self, proxy: int, update: EncodedParts) -> None:
         self.connections.send(self._connection_by_proxy[proxy], b"".join(update.frames))
