Channel estimate: charges are replaced by what the messages hold

What is reckoned for a flush is an upper bound: an entry set twice is sent once, a readmission goes only to proxies that may hold the exclusion.

After each flush the platform server hands the entries of each message to the controller, which replaces its charges. The invariant that test_channel_bound checks after each flush: a message holds no more than was charged, and the estimate then holds exactly what was sent.

--- a/tests/decisions/test_channel.py
+++ b/tests/decisions/test_channel.py
@@ -46,6 +46,20 @@
     assert channel.unproven_entries() == 0
 
 
+# Guards against an estimate of the queue that parts from what the messages hold.
+def test_charges_are_replaced_by_what_was_sent() -> None:
+    channel = joined_channel(3)
+    channel.charge([0, 1, 2], 10)
+    channel.flush(0)
+    channel.settle_flush({0: 17, 1: 12})  # the third proxy was sent nothing
+    assert channel.queue_estimate() == channel.queue_ceiling() == channel.unproven_entries() == 29
+    channel.charge([2], 3)
+    channel.flush(0)
+    channel.remove_proxy(2)  # its connection failed as the message was sent
+    channel.settle_flush({2: 10})
+    assert channel.unproven_entries() == 29
+
+
 def test_queue_ceiling_counts_all_entries_not_proven_to_have_left() -> None:
     channel = joined_channel(2)
     channel.charge([0, 1], 300)
--- a/tests/test_channel_bound.py
+++ b/tests/test_channel_bound.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import random
 from collections import deque
@@ -294,9 +295,13 @@
             if messages and messages[-1].marker == flush
         }
         self.channel.flush_costs.clear()
-        self.runtime.flush()
+        sent_entries = self.runtime.flush()
+        self.controller.settle_flush(sent_entries)
+        settled = self.controller.channel.unacknowledged
         for proxy, cost in self.channel.flush_costs.items():
             assert cost <= charged.get(proxy, 0), f"proxy {proxy}: sent {cost}, charged {charged.get(proxy)}"
+            assert settled[proxy][-1].entries == sent_entries[proxy] == math.ceil(cost)
+        assert charged.keys() >= sent_entries.keys() == self.channel.flush_costs.keys()
         limit = self.settings.channel.queue_limit_entries
         assert self.channel.peak_entries <= limit, f"{self.channel.peak_entries} of {limit} wait"
 
--- a/willowhook/decisions/channel.py
+++ b/willowhook/decisions/channel.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from ..ticks import TICKS_PER_SECOND
@@ -71,6 +71,7 @@
         self._lost_before = now  # messages due by then are lost and no longer count
         self.last_marker = 0
         self._flush_count = 0
+        self._last_flush: list[int] = []  # the proxies that the last flush was charged for
         self._last_proven_flush = 0  # all messages up to this flush have left the queue
 
     def add_proxy(self, proxy: int) -> None:
@@ -138,9 +139,26 @@
             self.unacknowledged[proxy].append(
                 SentMessage(self.last_marker, entries, due_at, self._flush_count)
             )
+        self._last_flush = list(self.pending)
         self.pending.clear()
         return self.last_marker
 
+    def settle_flush(self, sent_entries: Mapping[int, int]) -> None:
+        """Replaces the charges of the last flush by the entries that its messages hold, by proxy."""
+        for proxy in self._last_flush:
+            messages = self.unacknowledged.get(proxy)
+            if not messages or messages[-1].flush != self._flush_count:
+                continue  # the session ended during the flush
+            charged = messages.pop()
+            sent = sent_entries.get(proxy, 0)
+            if sent:
+                messages.append(charged._replace(entries=sent))
+            surplus = charged.entries - sent
+            self.queued = max(0.0, self.queued - surplus)
+            self._certainly_waiting = max(0.0, self._certainly_waiting - surplus)
+            self._possibly_waiting = max(0.0, self._possibly_waiting - surplus)
+        self._last_flush = []
+
     def acknowledge(self, now: int, proxy: int, marker: int) -> None:
         """Handles the acknowledgement of the message with this marker and all earlier ones by a proxy."""
         self._last_acknowledgement_at = now
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from typing import assert_never
 
 from ..ticks import TICKS_PER_SECOND
@@ -196,6 +197,13 @@
         self._list_requests.send_due(now)
         self._updates.send(now)
 
+    def settle_flush(self, sent_entries: Mapping[int, int]) -> None:
+        """Replaces what `flush` charged by the entries that the messages hold, by proxy.
+
+        Optional: without it the charges stay, which are upper bounds.
+        """
+        self.channel.settle_flush(sent_entries)
+
     def _handle_timer(self, now: int) -> None:
         """Evaluates, unless the timer was set only for a request for the list in the next flush."""
         if not self._list_requests.take_timer(now):
--- a/willowhook/platform/control_loop.py
+++ b/willowhook/platform/control_loop.py
@@ -88,7 +88,9 @@
         charged_before = self._controller.channel.charged_entries
         self._controller.flush(started_at)
         charged_entries = self._controller.channel.charged_entries - charged_before
-        self._record_flush(self._updates.flush(), charged_entries)
+        sent_entries = self._updates.flush()
+        self._controller.settle_flush(sent_entries)
+        self._record_flush(sent_entries, charged_entries)
         return self._clock.now() - started_at
 
     def _record_flush(self, sent_entries: dict[int, int], charged_entries: int) -> None:
