Soak: updates pass a channel, and the entries that wait in it are checked

Each controller now has the stand-in channel: it counts the frames that leave the process, carries them at the stated rate, and proxies apply and acknowledge a message once it has left and its delay is over.

A new injected fault, no queue limit, is detected.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,6 +22,7 @@
 from platform_process import SETTINGS, ControllerProcess, reserve_port
 from soak_discovery import AnswerMode, ListedEndpoint, SoakDiscovery
 from soak_peers import BadClient, SoakProxy, run_bad_client, run_collector
+from update_channel import UpdateChannel
 
 from willowhook.platform.fields import Fields
 
@@ -48,6 +49,8 @@
 DISTURBANCES_PER_RUN = 9
 UNCHANGED_ENDPOINTS = 4  # the first ones in the list stay warm and active
 SETTLING_S = DRAIN_GRACE_S + LIST_FETCH_TIMEOUT_S / 2
+ENTRIES_PER_SECOND_AND_PROXY = 16.0  # of the channel, at least
+QUEUE_LIMIT_S = SETTINGS["extra"]["most-waiting"] / SETTINGS["extra"]["egress-per-s"]
 LOG_LINE = re.compile(r"\d+\.\d{3} \S")
 
 
@@ -125,6 +128,7 @@
         is_ending: whether its present process has been sent SIGTERM or SIGKILL.
         ready_times_s: the time from each start to the first answer.
         logs: the log files, one for each process.
+        channel: carries the updates of its present process; one that is killed loses what waits.
     """
 
     name: str
@@ -136,6 +140,10 @@
     is_ending: bool = False
     ready_times_s: list[float] = field(default_factory=list)
     logs: list[Path] = field(default_factory=list)
+    channel: UpdateChannel = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._renew_channel()
 
     @property
     def port(self) -> int:
@@ -151,6 +159,7 @@
         """Starts the process and waits for its first answer."""
         self.logs.append(self.folder / f"{self.name}-{len(self.logs)}.log")
         self.is_ending = False
+        self._renew_channel()
         self.first_answer_at = None
         self.started_at = trio.current_time()
         with self.logs[-1].open("wb") as log:
@@ -162,6 +171,10 @@
         self.first_answer_at = trio.current_time()
         self.ready_times_s.append(self.first_answer_at - self.started_at)
 
+    def _renew_channel(self) -> None:
+        extra = self.process.settings["extra"]
+        self.channel = UpdateChannel(extra["egress-per-s"], extra["most-waiting"], extra["per-message"])
+
     def _describe_failed_start(self) -> str:
         assert self.running is not None
         log = self.logs[-1].read_text()
@@ -440,6 +453,7 @@
             await trio.sleep(CHECK_INTERVAL_S)
             for controller in self.controllers:
                 self._check_resources(controller, at_rest=False)
+                self._check_queue(controller)
             for proxy in self.proxies:
                 self._check_proxy(proxy)
 
@@ -551,6 +565,13 @@
                 f"proxy {proxy.number} got {cap + 1} messages in {times[-1] - times[-1 - cap]:.2f} s"
             )
 
+    def _check_queue(self, controller: SoakController) -> None:
+        for _, entries in controller.channel.breaches:
+            self.report_finding(
+                f"{controller.name}: {entries:.0f} entries waited, {controller.channel.limit_entries:.0f} may"
+            )
+        controller.channel.breaches.clear()
+
     def _check_resources(self, controller: SoakController, *, at_rest: bool) -> None:
         if controller.running is None or not controller.accepts_proxies:
             return
@@ -598,7 +619,13 @@
     def _make_controller(self, folder: Path, number: int, arguments: Sequence[str]) -> SoakController:
         directory = folder / f"n{number}"
         directory.mkdir(parents=True)
-        extra: Fields = {"proxies": self.plan.proxies, "update-cap": self.plan.message_cap}
+        rate = max(SETTINGS["extra"]["egress-per-s"], ENTRIES_PER_SECOND_AND_PROXY * self.plan.proxies)
+        extra: Fields = {
+            "proxies": self.plan.proxies,
+            "update-cap": self.plan.message_cap,
+            "egress-per-s": rate,
+            "most-waiting": QUEUE_LIMIT_S * rate,
+        }
         contract: Fields = {"fall-multiple": self.plan.overload_factor}
         settings = {
             **SETTINGS,
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 import time
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 from willowhook.decisions.list_requests import ListRequests
 from willowhook.decisions.message_cap import MessageCap
 from willowhook.decisions.pacing import UpdatePacer
+from willowhook.decisions.queue_limits import QueueLimits
 from willowhook.decisions.slow_start import SlowStart
 from willowhook.platform.connection import Connection
 from willowhook.platform.connection_server import ConnectionServer
@@ -139,6 +141,12 @@
     patch.object(ProxyBinder, "stop_holding_back", lambda *_: None).start()
 
 
+def _ignore_queue_limit() -> None:
+    patch.object(QueueLimits, "has_room", lambda *_: True).start()
+    for name in ("for_exclusions", "for_binds", "for_table_updates"):
+        patch.object(QueueLimits, name, lambda _: math.inf).start()
+
+
 def _waste_memory() -> None:
     patch.object(sys, "wasted", b"x" * WASTED_BYTES, create=True).start()
 
@@ -162,6 +170,7 @@
     "long pauses after a loss": Fault(_pause_after_losses, "(leaving)"),
     "fetches that cancel requests": Fault(_cancel_requests_for_fetches, " may use "),
     "no message cap": Fault(_ignore_message_cap, "messages in"),
+    "no queue limit": Fault(_ignore_queue_limit, "entries waited"),
     "no slow start": Fault(_ignore_slow_start, "of the weight of a warm one"),
     "nobody rejected": Fault(_reject_nobody, "bad client"),
     "wrong exit code": Fault(lambda: None, "ended with code 7"),
--- a/tests/soak_peers.py
+++ b/tests/soak_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -10,18 +11,21 @@
 
 import trio
 from platform_fixtures import MAX_PARTS, ReferenceProxy
-from platform_process import ATTACH
+from platform_process import ATTACH, SETTINGS
+from update_channel import DELIVERY_INTERVAL_S, Delivery, UpdateChannel
 
 from willowhook.platform.fields import Fields
 from willowhook.platform.framing import FrameDecoder, encode_frame
 
 REPORT_INTERVAL_S = 1.0
+MAX_DELAY_S = SETTINGS["extra"]["late-most"]  # after a message has left the channel
 
 
 class ControllerAddress(Protocol):
     """The part of a controller that its peers need."""
 
     name: str
+    channel: UpdateChannel
 
     @property
     def port(self) -> int:
@@ -60,11 +64,13 @@
     message_times: list[float] = field(default_factory=list)
     reconnects_until: float = 0.0
     _last_marker: int = 0
+    _delivered_at: float = 0.0
 
     def __post_init__(self) -> None:
         self.reference = ReferenceProxy(self.routes)
         self._is_fresh = True
         self._parts: list[Fields] = []
+        self._deliveries: deque[Delivery] = deque()
         self._send_lock = trio.Lock()
 
     def usable_weights(self, route: str) -> dict[str, float]:
@@ -89,6 +95,7 @@
 
     async def _run_session(self, controller: ControllerAddress, stream: trio.SocketStream) -> None:
         fields = {"proxy": self.number, "zone": self.zone, "fresh": self._is_fresh}
+        was_closed = False
         try:
             async with trio.open_nursery() as nursery:
                 await stream.send_all(encode_frame({**ATTACH, **fields}))
@@ -96,20 +103,26 @@
                 self.controller = controller
                 self.message_times = []
                 self._parts = []
+                self._deliveries = deque()
+                self._delivered_at = 0.0
                 self._last_marker = 0
                 nursery.start_soon(self._report_requests, stream)
+                nursery.start_soon(self._deliver, stream)
                 with trio.CancelScope() as scope:
                     if self.reconnects_until > trio.current_time():
                         scope.deadline = trio.current_time() + self.random.uniform(0.02, 0.2)
-                    await self._receive(stream)
+                    await self._receive(stream, controller.channel)
+                    was_closed = True
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            was_closed = True
         finally:
             self.controller = None
+            if not was_closed:  # what waits for a proxy stays counted if the controller ends the session
+                controller.channel.drop_proxy(self.number)
             await trio.aclose_forcefully(stream)
 
-    async def _receive(self, stream: trio.SocketStream) -> None:
+    async def _receive(self, stream: trio.SocketStream, channel: UpdateChannel) -> None:
         decoder = FrameDecoder()
         while True:
             data = await stream.receive_some(65536)
@@ -119,21 +132,33 @@
                 if part.get("t") == "reject":
                     self.report_finding(f"proxy {self.number} was rejected")
                     return
-                await self._handle_part(stream, part)
+                self._handle_part(channel, part)
 
-    async def _handle_part(self, stream: trio.SocketStream, part: Fields) -> None:
-        """Applies and acknowledges a message, in the order of its parts, once the last has arrived."""
+    def _handle_part(self, channel: UpdateChannel, part: Fields) -> None:
+        """Puts a message into the channel once its last part has come."""
         self._parts.append(part)
         if part.get("part"):
             return
         if len(self._parts) > MAX_PARTS:
             self.report_finding(f"proxy {self.number}: a message of {len(self._parts)} parts")
-        for collected_part in self._parts:
-            self.reference.apply_part(collected_part)
+        leaves_at = channel.enter(self.number, self._parts)
+        self._delivered_at = max(self._delivered_at, leaves_at + self.random.uniform(0.0, MAX_DELAY_S))
+        self._deliveries.append(Delivery(self._delivered_at, self._parts))
         self._parts = []
-        self._is_fresh = False
         self.message_times.append(trio.current_time())
-        marker = part.get("stamp")
+
+    async def _deliver(self, stream: trio.SocketStream) -> None:
+        while True:
+            await trio.sleep(DELIVERY_INTERVAL_S)
+            while self._deliveries and self._deliveries[0].at <= trio.current_time():
+                await self._apply(stream, self._deliveries.popleft().parts)
+
+    async def _apply(self, stream: trio.SocketStream, parts: list[Fields]) -> None:
+        """Applies a message in the order of its parts, and acknowledges it."""
+        for part in parts:
+            self.reference.apply_part(part)
+        self._is_fresh = False
+        marker = parts[-1].get("stamp")
         if marker is not None:
             if marker <= self._last_marker:
                 self.report_finding(f"proxy {self.number}: marker {marker} after {self._last_marker}")
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -29,6 +29,9 @@
         disturbances=(Disturbance.LACK_ENDPOINTS, *[Disturbance.RECONNECT] * 3),
         answer_delay_s=0.8,
     ),
+    "no queue limit": replace(
+        FAULT_PLAN, proxies=100, endpoints=24, message_cap=0, disturbances=(Disturbance.RECONNECT,) * 4
+    ),
     "bound without a list": replace(FAULT_PLAN, disturbances=(*[Disturbance.KILL_WITHOUT_DISCOVERY] * 3,)),
 }
 
