File control plane: decisions see the queue that it keeps; messages queued again ask for room

Messages that are queued again (held by validation, refused, resent by a rollout) asked nothing or only whether the queue was low, and the decisions did not know of them, so both together could pass the limit; a resend was charged its weights only, without binds, limits and exclusions.

The decisions get the entries that wait before each flush and count them in the queue's upper estimate; a message is queued again only if there is room; a resend is charged as the binds that it is.

--- a/tests/decisions/test_channel.py
+++ b/tests/decisions/test_channel.py
@@ -60,6 +60,16 @@
     assert channel.unproven_entries() == 29
 
 
+# Guards against a queue that others fill as well, such as messages that are queued again.
+def test_queue_ceiling_counts_an_observed_queue_and_what_was_charged_since() -> None:
+    channel = joined_channel(1)
+    channel.observe_queue(500)
+    channel.charge([0], 3)
+    assert channel.queue_estimate() == 10 and channel.queue_ceiling() == 510
+    channel.observe_queue(2)
+    assert channel.queue_ceiling() == 10
+
+
 def test_queue_ceiling_counts_all_entries_not_proven_to_have_left() -> None:
     channel = joined_channel(2)
     channel.charge([0, 1], 300)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -327,6 +327,8 @@
             runtime.watch_endpoints()
             runtime.schedule_evaluation(100)
 
+        def observe_queue(self, entries: float) -> None: ...
+
         def queue_estimate(self) -> float:
             return 0.0
 
--- a/tests/test_update_channel.py
+++ b/tests/test_update_channel.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from controlplane_fixtures import SETTINGS
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from willowhook.controlplane.channel import RateLimitedChannel
 from willowhook.controlplane.proxy_state import ProxyView, UpdateMessage
+from willowhook.controlplane.update_queue import UpdateQueue
 from willowhook.ticks import TICKS_PER_SECOND
 
 
@@ -63,3 +66,23 @@
     channel.put(message(4, 1, 5, 0))
     assert channel.drop_proxy(1) == 1
     assert channel.waiting_entries == 0
+
+
+# Guards against messages that are queued again without asking whether the queue has room.
+def test_held_message_is_queued_again_only_when_the_queue_has_room() -> None:
+    held = message(1, 0, 60, 0)
+    session = SimpleNamespace(name="p0", withheld=SimpleNamespace(message=held, until=0))
+    context = SimpleNamespace(
+        sessions=SimpleNamespace(by_number={}, unfinished_sessions=lambda: [session]),
+        listener=SimpleNamespace(report_condition=lambda *_, **__: None),
+        records=SimpleNamespace(record_queued=lambda *_: None),
+    )
+    numbers = SimpleNamespace(next_message_number=lambda: 7)
+    limits = SETTINGS.channel._replace(queue_limit_entries=100)
+    queue = UpdateQueue(context, limits, numbers)  # type: ignore[arg-type]
+    queue.put(message(2, 1, 41, 0))
+    queue.put_held_messages(0)
+    assert session.withheld is not None and queue.channel.waiting_entries == 41
+    assert queue.take(TICKS_PER_SECOND) is not None
+    queue.put_held_messages(TICKS_PER_SECOND)
+    assert session.withheld is None and queue.channel.waiting_entries == 60
--- a/willowhook/controlplane/channel.py
+++ b/willowhook/controlplane/channel.py
@@ -49,6 +49,11 @@
         """Entries that wait to leave, or to be fetched."""
         return self._queued_entries + self._unfetched_entries
 
+    @property
+    def queued_entries(self) -> int:
+        """Entries that wait to leave."""
+        return self._queued_entries
+
     @property
     def is_low(self) -> bool:
         """Whether so few entries wait that messages without urgency may be queued too."""
--- a/willowhook/controlplane/decider.py
+++ b/willowhook/controlplane/decider.py
@@ -16,6 +16,9 @@
     def handle(self, now: int, event: Event) -> None:
         """Processes one event."""
 
+    def observe_queue(self, entries: float) -> None:
+        """Records how many entries wait in the channel; called before `flush`."""
+
     def flush(self, now: int) -> None:
         """Issues the commands that result from the events since the last flush."""
 
--- a/willowhook/controlplane/decision_loop.py
+++ b/willowhook/controlplane/decision_loop.py
@@ -109,6 +109,7 @@
         self._directory.publish_tier_changes(now)
         while self._evaluations.pop_due(now):
             self._controller.handle(now, EvaluationDue())
+        self._controller.observe_queue(self._publisher.channel.queued_entries)
         self._controller.flush(now)
         self._proxy_states.flush(now)
         self._publisher.wake()
--- a/willowhook/controlplane/publisher.py
+++ b/willowhook/controlplane/publisher.py
@@ -170,6 +170,8 @@
             refused = session.refused
             if refused is None or now < refused.revalidate_at:
                 continue
+            if not self._queue.has_room_for(refused.message.cost_entries):
+                continue
             if self._validator.is_refused(now, session, refused.message, self.channel.waiting_entries):
                 session.refused = refused.postponed(now)
                 continue
--- a/willowhook/controlplane/table_rollout.py
+++ b/willowhook/controlplane/table_rollout.py
@@ -13,7 +13,7 @@
 
 from ..config.terms import RolloutTerms
 from ..decisions.settings import ChannelSettings
-from ..decisions.update_cost import message_overhead
+from ..decisions.update_cost import bind_cost, message_overhead
 from ..ticks import ticks_from_milliseconds
 from ..versions.resources import Resource
 from ..versions.rollout import Rollout, RolloutMode, RolloutSettings
@@ -196,16 +196,25 @@
     def queue_resends(self, now: int) -> None:
         """Queues waiting resends while the update queue has room for them."""
         for proxy in list(self._resend):
-            if not self._queue.has_room_for_resends:
-                return
-            del self._resend[proxy]
             session = self._sessions.by_number.get(proxy)
             if session is not None and session.newest is not None:
-                self._queue.put_newest_again(now, session, self._resend_cost(session.newest.view))
+                cost = self._resend_cost(session.newest.view)
+                if not (self._queue.has_room_for_resends and self._queue.has_room_for(cost)):
+                    return
+                self._queue.put_newest_again(now, session, cost)
+            del self._resend[proxy]
 
     def _resend_cost(self, view: ProxyView) -> int:
-        entries = {table.number: len(table.weights) for table in view.bound.values()}
-        return self._message_overhead + sum(entries.values())
+        """Returns the cost of the complete state of a proxy."""
+        tables = {table.number: table for table in view.bound.values()}.values()
+        return self._message_overhead + sum(
+            bind_cost(
+                len(table.weights),
+                len(table.limits),
+                sum(endpoint in view.excluded for endpoint in table.weights),
+            )
+            for table in tables
+        )
 
     # Acknowledgements and rejections.
 
--- a/willowhook/controlplane/update_queue.py
+++ b/willowhook/controlplane/update_queue.py
@@ -31,6 +31,10 @@
         """Whether so few entries wait that messages may be queued again."""
         return self.channel.is_low
 
+    def has_room_for(self, cost_entries: int) -> bool:
+        """Whether a message of this cost may be queued again without exceeding the queue limit."""
+        return self.channel.waiting_entries + cost_entries <= self._settings.queue_limit_entries
+
     def put(self, message: UpdateMessage) -> None:
         """Queues a message and records it."""
         is_within_limit = self.channel.put(message)
@@ -67,6 +71,8 @@
             if session.withheld is None or now < session.withheld.until:
                 continue
             message = session.withheld.message
+            if not self.has_room_for(message.cost_entries):
+                continue
             session.withheld = None
             self.put_again_unless_superseded(now, message)
 
--- a/willowhook/decisions/channel.py
+++ b/willowhook/decisions/channel.py
@@ -64,6 +64,7 @@
         self.queued = 0.0
         self.charged_entries = 0
         self.overdue = 0.0
+        self._observed: float | None = None  # entries in the queue as observed, and those charged since
         self._possibly_waiting = 0.0  # entries not proven to have left the queue
         self._certainly_waiting = 0.0  # those of them that cannot be in transit at the stated rate
         self._estimate_advanced_at = now
@@ -99,7 +100,7 @@
 
         Exclusions, reminders and the binds of a join burst are limited by it.
         """
-        return max(self.queue_estimate(), self._possibly_waiting)
+        return max(self.queue_estimate(), self._possibly_waiting, self._observed or 0.0)
 
     def cost(self, proxies: Sequence[int], entries: int) -> int:
         """Returns the cost of this many entries for each proxy, including overhead of new messages."""
@@ -117,9 +118,15 @@
         self.queued += cost
         self._certainly_waiting += cost
         self._possibly_waiting += cost
+        if self._observed is not None:
+            self._observed += cost
         for proxy in proxies:
             self.pending[proxy] = self.pending.get(proxy, self.overhead_entries) + entries
 
+    def observe_queue(self, entries: float) -> None:
+        """Records how many entries wait, where the runtime keeps the queue and can tell."""
+        self._observed = entries
+
     def advance_queue_estimate(self, now: int) -> None:
         """Subtracts the entries that have left the queue since the last call."""
         self.queued = max(0.0, self.queued - self.entries_per_tick * (now - self._estimate_advanced_at))
--- a/willowhook/decisions/controller.py
+++ b/willowhook/decisions/controller.py
@@ -197,6 +197,10 @@
         self._list_requests.send_due(now)
         self._updates.send(now)
 
+    def observe_queue(self, entries: float) -> None:
+        """Records how many entries wait in the channel, before `flush`, where the runtime keeps the queue."""
+        self.channel.observe_queue(entries)
+
     def settle_flush(self, sent_entries: Mapping[int, int]) -> None:
         """Replaces what `flush` charged by the entries that the messages hold, by proxy.
 
--- a/willowhook/trial/swaps.py
+++ b/willowhook/trial/swaps.py
@@ -69,6 +69,9 @@
         runtime.watch_endpoints()
         runtime.schedule_evaluation(EVALUATION_INTERVAL_TICKS)
 
+    def observe_queue(self, entries: float) -> None:
+        """Ignores the queue: this decider sends when the channel is empty."""
+
     def queue_estimate(self) -> float:
         """Returns no estimate: these runs don't compare it with the real queue."""
         return 0.0
