Platform: all connections together hold a quarter of the memory limit at most

Cause: each connection was bounded (1 MiB in, 256 KiB out), their sum was not. Change: a budget of the process counts what connections hold; over it the connections that hold most are closed. Long messages are decoded one between other tasks.

--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -64,7 +64,7 @@
         self._connections: list[Connection] = []
         unused_address = Address("127.0.0.1", 1)
         configuration = ControllerConfiguration(
-            "n0", unused_address, unused_address, seed, 1024, known, decode_settings(settings)
+            "n0", unused_address, unused_address, seed, 1024, 128, known, decode_settings(settings)
         )
         with (
             mock.patch.object(server, "Clock", lambda: self),
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -37,7 +37,7 @@
 
     async def scenario() -> None:
         async with trio.open_nursery() as nursery:
-            server = ConnectionServer(Address("127.0.0.1", 0), 99, lambda *_: None, lambda *_: None)
+            server = ConnectionServer(Address("127.0.0.1", 0), 99, 1 << 20, lambda *_: None, lambda *_: None)
             server._nursery = nursery
             assert server._accept_pending(Listener())  # type: ignore[arg-type]
             assert server.open_count == 0 and peer.recv(1) == b""
@@ -52,7 +52,7 @@
     def __init__(self, *, identifies: bool) -> None:
         self.identifies = identifies
         self.message_types: list[str] = []
-        self.server = ConnectionServer(Address("127.0.0.1", 0), 99, self.handle, lambda _: None)
+        self.server = ConnectionServer(Address("127.0.0.1", 0), 99, 1 << 20, self.handle, lambda _: None)
         accepted, self.peer = socket.socketpair()
         self.connection = self.server.add_connection(accepted)
 
@@ -100,7 +100,11 @@
 
     async def main() -> None:
         server = ConnectionServer(
-            Address("127.0.0.1", 0), 99, lambda *_: None, lambda each: ended_here.append(each.is_ended_here)
+            Address("127.0.0.1", 0),
+            99,
+            1 << 20,
+            lambda *_: None,
+            lambda each: ended_here.append(each.is_ended_here),
         )
         async with trio.open_nursery() as nursery:
             server._nursery = nursery
--- a/willowhook/platform/configuration.py
+++ b/willowhook/platform/configuration.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
 NAME_VARIABLE = "ROUTER_NAME"  # the controller's name, if the file does not contain one
 MAX_FILE_BYTES = 64 << 20
 DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MAX_MEMORY_MB = 128
 MAX_PORT = 65535
 MAX_QUOTED_CHARACTERS = 60  # longer values are truncated in error messages
 
@@ -44,6 +46,7 @@
         discovery: the address of service discovery, which serves the endpoint list.
         seed: the seed of the controller's random numbers.
         max_descriptors: the number of file descriptors that the process may have open.
+        max_memory_mb: the memory that the process may use, in MiB.
         endpoint_list: the last endpoint list of this controller, in the format of a discovery answer.
         settings: the settings of the deployment.
     """
@@ -53,6 +56,7 @@
     discovery: Address
     seed: int
     max_descriptors: int
+    max_memory_mb: float
     endpoint_list: Fields
     settings: DeploymentSettings
 
@@ -72,6 +76,7 @@
         discovery=_read_address(document, "discovery"),
         seed=int.from_bytes(str(document.get("seed", "")).encode(), "little"),
         max_descriptors=_read_field(limits, "sockets", int, DEFAULT_MAX_DESCRIPTORS),
+        max_memory_mb=_read_memory_limit(limits),
         settings=settings,
     )
 
@@ -102,6 +107,13 @@
     return value
 
 
+def _read_memory_limit(limits: Fields) -> float:
+    value = limits.get("memory_mb", DEFAULT_MAX_MEMORY_MB)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ConfigurationError(f"memory_mb: expected a number above 0, got {type(value).__name__}")
+    return float(value)
+
+
 def _read_address(document: Fields, key: str) -> Address:
     text = _read_field(document, key, str)
     host, _, port = text.rpartition(":")
--- a/willowhook/platform/connection.py
+++ b/willowhook/platform/connection.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from .buffer_budget import BufferBudget
 from .framing import MAX_MESSAGE_BYTES, FrameDecoder
 
 MAX_FIRST_MESSAGE_BYTES = 4 << 10  # until the peer is identified; join messages are short
@@ -33,6 +34,7 @@
         sock: the accepted socket, which is non-blocking; the connection closes it.
         accepted_at: the time of acceptance, in seconds of trio's clock.
         sequence_number: the number of connections accepted so far; a later connection has a higher number.
+        budget: counts what all connections hold.
 
     Attributes:
         socket: the argument `sock`.
@@ -47,7 +49,9 @@
         decoder: decodes the bytes that the peer sends.
     """
 
-    def __init__(self, sock: socket.socket, accepted_at: float, sequence_number: int) -> None:
+    def __init__(
+        self, sock: socket.socket, accepted_at: float, sequence_number: int, budget: BufferBudget
+    ) -> None:
         self.socket = sock
         self.accepted_at = accepted_at
         self.sequence_number = sequence_number
@@ -59,6 +63,8 @@
         self.decoder = FrameDecoder(MAX_FIRST_MESSAGE_BYTES)
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
+        self._budget = budget
+        self._counted_bytes = 0
 
     @property
     def is_identified(self) -> bool:
@@ -70,6 +76,17 @@
         """Whether bytes are queued until the kernel accepts them."""
         return bool(self._queue)
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of an incomplete message, and those that are queued."""
+        return self._queued_bytes + self.decoder.buffered_bytes if self.is_open else 0
+
+    def count_held_bytes(self) -> None:
+        """Counts in the budget what the connection holds now."""
+        held_bytes = self.held_bytes
+        self._budget.change(held_bytes - self._counted_bytes)
+        self._counted_bytes = held_bytes
+
     def allow_long_messages(self) -> None:
         """Replaces the message size limit for unidentified peers by that of the protocol."""
         self.decoder.max_message_bytes = MAX_MESSAGE_BYTES
@@ -91,6 +108,7 @@
             data = data[sent_bytes:]
         self._queue.append(data)
         self._queued_bytes += len(data)
+        self.count_held_bytes()
         self.is_ended_here = self._queued_bytes > MAX_QUEUED_BYTES
         return not self.is_ended_here
 
@@ -114,6 +132,7 @@
             trio.lowlevel.notify_closing(self.socket)
             self.socket.close()
             self._queue.clear()
+            self.count_held_bytes()
 
     def _send_queue_head(self) -> None:
         data = self._queue.popleft()
@@ -122,6 +141,7 @@
         if sent_bytes < len(data):
             self._queue.appendleft(data[sent_bytes:])
             self._queued_bytes += len(data) - sent_bytes
+        self.count_held_bytes()
 
     def _send_now(self, data: bytes) -> int:
         """Returns the number of bytes that the kernel accepted. Raises OSError if the connection failed."""
--- a/willowhook/platform/connection_server.py
+++ b/willowhook/platform/connection_server.py
@@ -14,6 +14,7 @@
 
 from ..errors import WillowhookError
 from .address import Address
+from .buffer_budget import BufferBudget
 from .connection import Connection
 from .fields import Fields
 from .framing import FramingError
@@ -26,6 +27,7 @@
 SEND_BUFFER_BYTES = 64 << 10  # of the kernel, per socket; limits the memory for a peer that does not read
 LISTEN_BACKLOG = 1024
 MAX_ACCEPTED_PER_TURN = 64  # so that other tasks can run between batches
+LONG_MESSAGE_BYTES = 64 << 10  # from here on, messages are decoded one at a time
 RESERVED_DESCRIPTORS = 24  # listener, discovery (two while its address changes), event loop, log, spare
 OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
@@ -45,6 +47,7 @@
     Args:
         address: the address at which it listens while it serves.
         max_descriptors: the maximum number of file descriptors of the whole process.
+        max_buffered_bytes: the maximum that all connections together may hold.
         handle_message: handles each message that is received.
         handle_close: handles the close of each identified connection.
 
@@ -57,6 +60,7 @@
         self,
         address: Address,
         max_descriptors: int,
+        max_buffered_bytes: int,
         handle_message: MessageHandler,
         handle_close: CloseHandler,
     ) -> None:
@@ -64,6 +68,9 @@
         self._max_descriptors = max_descriptors
         self._handle_message = handle_message
         self._handle_close = handle_close
+        self._budget = BufferBudget(max_buffered_bytes)
+        self._long_message_turn = trio.Lock()
+        self._connections: dict[Connection, None] = {}
         self._unidentified: dict[Connection, None] = {}  # in the order of acceptance
         self._accepted_count = 0
         self._nursery: trio.Nursery | None = None
@@ -92,8 +99,9 @@
     def add_connection(self, sock: socket.socket) -> Connection:
         """Adds the connection of an accepted socket. Its peer is unidentified."""
         self._accepted_count += 1
-        connection = Connection(sock, trio.current_time(), self._accepted_count)
+        connection = Connection(sock, trio.current_time(), self._accepted_count, self._budget)
         self.open_count += 1
+        self._connections[connection] = None
         self._unidentified[connection] = None
         return connection
 
@@ -105,6 +113,7 @@
             assert self._nursery is not None
             connection.is_sending_queue = True
             self._nursery.start_soon(connection.send_queue)
+        self._close_largest_over_budget()
 
     def receive(self, connection: Connection, data: bytes) -> None:
         """Handles the messages that `data` completes; rejects the peer if they cannot be decoded."""
@@ -115,6 +124,8 @@
                     break
         except (FramingError, IdentificationError):
             self.reject(connection)
+        connection.count_held_bytes()
+        self._close_largest_over_budget()
 
     def confirm_identity(self, connection: Connection) -> None:
         """Removes the time limit and the message size limit for unidentified peers from a connection."""
@@ -137,6 +148,7 @@
         if not connection.is_open:
             return
         self.open_count -= 1
+        self._connections.pop(connection, None)
         connection.close()
         if connection.is_identified:
             self._handle_close(connection)
@@ -175,6 +187,24 @@
         if oldest is not None:
             self.reject(oldest)
 
+    def _close_largest_over_budget(self) -> None:
+        """Closes the connections that hold most, while all together hold more than they may."""
+        while self._budget.is_exceeded:
+            largest = max(self._connections, key=lambda connection: connection.held_bytes)
+            largest.is_ended_here = True
+            self.rejected_count += 1
+            self.close(largest)
+
+    async def _receive_in_turn(self, connection: Connection, data: bytes) -> None:
+        """As `receive`; of long messages, whose decoding takes long, one is decoded between other tasks."""
+        if connection.decoder.buffered_bytes < LONG_MESSAGE_BYTES:
+            self.receive(connection, data)
+            return
+        async with self._long_message_turn:
+            if connection.is_open:
+                self.receive(connection, data)
+            await trio.lowlevel.checkpoint()
+
     async def _read(self, connection: Connection) -> None:
         while connection.is_open:
             try:
@@ -186,7 +216,7 @@
                 break
             if not data:
                 break
-            self.receive(connection, data)
+            await self._receive_in_turn(connection, data)
         self.close(connection)
 
     async def _reject_overdue_connections(self) -> None:
--- a/willowhook/platform/framing.py
+++ b/willowhook/platform/framing.py
@@ -39,6 +39,11 @@
         self.max_message_bytes = max_message_bytes
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of an incomplete message."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[Fields]:
         """Yields the messages that `data` completes, in order.
 
--- a/willowhook/platform/proxy_sessions.py
+++ b/willowhook/platform/proxy_sessions.py
@@ -16,6 +16,8 @@
 
 MAX_LOGGED_MALFORMED_MESSAGES = 20  # since the process started; later ones are only counted
 MAX_LOGGED_TYPE_CHARACTERS = 40
+BYTES_PER_MB = 1 << 20
+BUFFER_DIVISOR = 4  # all connections together may hold this part of the memory of the process
 JOIN_MESSAGES = (ProxyJoined, CollectorJoined)
 
 SubmitEvent = Callable[[Event], None]
@@ -44,7 +46,11 @@
         write_log: WriteLog,
     ) -> None:
         self.connections = ConnectionServer(
-            configuration.listen, configuration.max_descriptors, self._handle_message, self._handle_close
+            configuration.listen,
+            configuration.max_descriptors,
+            int(configuration.max_memory_mb * BYTES_PER_MB / BUFFER_DIVISOR),
+            self._handle_message,
+            self._handle_close,
         )
         self.updates = ProxyUpdates(configuration.settings, self._send_update)
         self.malformed_count = 0
