HTTP front and peers: incomplete requests of all clients together are bounded

The front allowed 4,000 connections with bodies of 1 MiB each, before anyone had identified itself; the address for peers allowed any number of connections, without a time limit.

Change: the front keeps the bodies of incomplete requests within 32 of the longest and answers 503 with Retry-After beyond; peers have 32 connections, a new one ends the oldest, and a packet has to come within 5 s.

--- a/willowhook/controlplane/links.py
+++ b/willowhook/controlplane/links.py
@@ -16,6 +16,8 @@
 HANDOFF_PATH = b"/v3/handoff"
 MAX_PACKET_BYTES = 1 << 20
 MAX_RESPONSE_BYTES = 4096
+MAX_CONNECTIONS = 32  # a new one ends the oldest; peers use one connection for each packet
+REQUEST_TIMEOUT_S = 5.0
 DEFAULT_PORT = 80
 
 
@@ -67,8 +69,21 @@
             return Reply(404)
         return Reply(204 if await accept(request.body) else 400)
 
+    slots = trio.CapacityLimiter(MAX_CONNECTIONS)
+    open_connections: dict[trio.CancelScope, None] = {}  # the oldest first
+
     async def serve(stream: trio.SocketStream) -> None:
-        await serve_connection(stream, handle_request, MAX_PACKET_BYTES)
+        if len(open_connections) >= MAX_CONNECTIONS:
+            oldest = next(iter(open_connections))
+            del open_connections[oldest]
+            oldest.cancel()
+        with trio.CancelScope() as scope:
+            open_connections[scope] = None
+            try:
+                async with slots:
+                    await serve_connection(stream, handle_request, MAX_PACKET_BYTES, REQUEST_TIMEOUT_S)
+            finally:
+                open_connections.pop(scope, None)
 
     address, _, port = listen.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=address)
--- a/willowhook/front/serve.py
+++ b/willowhook/front/serve.py
@@ -13,6 +13,7 @@
 from .limits import Gate
 
 READ_SIZE_BYTES = 65536
+MAX_BUFFERED_BODIES = 32  # of the longest, in all incomplete requests together
 
 
 @dataclass(slots=True)
@@ -93,6 +94,8 @@
         slow_readers: the connections closed because the client did not read a response in time.
         late_requests: the requests that did not arrive completely in time.
         rejected_requests: the requests rejected as malformed, too long or late.
+        buffered_bytes: the bytes of the bodies of incomplete requests.
+        peak_buffered_bytes: the most of them at one time.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         self.gate, self.timeouts, self.max_body_bytes = gate, timeouts, max_body_bytes
         self.handler, self.on_closed = handler, on_closed
         self.slow_readers = self.late_requests = self.rejected_requests = 0
+        self.buffered_bytes = self.peak_buffered_bytes = 0
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it ends, and closes it."""
@@ -159,7 +163,23 @@
         self, stream: trio.abc.Stream, protocol: h11.Connection
     ) -> Call | Reply | None:
         """Returns the next request; the error response to a bad one; None if the client is done."""
-        request, parts, size, has_begun = Call(b"", b"", {}), list[bytes](), 0, False
+        parts: list[bytes] = []
+        try:
+            return await self._receive_parts(stream, protocol, parts)
+        finally:
+            self.buffered_bytes -= sum(map(len, parts))
+
+    def _buffer_part(self, parts: list[bytes], part: bytes) -> bool:
+        """Keeps a part of a body; returns False if all incomplete requests hold too much."""
+        parts.append(part)
+        self.buffered_bytes += len(part)
+        self.peak_buffered_bytes = max(self.peak_buffered_bytes, self.buffered_bytes)
+        return self.buffered_bytes <= MAX_BUFFERED_BODIES * self.max_body_bytes
+
+    async def _receive_parts(
+        self, stream: trio.abc.Stream, protocol: h11.Connection, parts: list[bytes]
+    ) -> Call | Reply | None:
+        request, size, has_begun = Call(b"", b"", {}), 0, False
         with trio.CancelScope(deadline=trio.current_time() + self.timeouts.idle) as scope:
             try:
                 while True:
@@ -189,7 +209,8 @@
                             return error_response(
                                 413, 8, f"a body of over {self.max_body_bytes} bytes", 0, True
                             )
-                        parts.append(bytes(event.data))
+                        if not self._buffer_part(parts, bytes(event.data)):
+                            return error_response(503, 14, "too many long requests", 1, True)
                     elif isinstance(event, h11.EndOfMessage):
                         request.body = b"".join(parts)
                         return request
--- a/willowhook/web/wire.py
+++ b/willowhook/web/wire.py
@@ -186,7 +186,10 @@
 
 
 async def serve_connection(
-    stream: trio.abc.Stream, answer: RequestHandler, max_body_bytes: int = MAX_BODY_BYTES
+    stream: trio.abc.Stream,
+    answer: RequestHandler,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    request_timeout_s: float = math.inf,
 ) -> None:
     """Answers the requests on a connection until the client closes it, then closes the stream.
 
@@ -194,11 +197,15 @@
         stream: the stream of the connection.
         answer: returns the response to a request, or None to close the connection without a response.
         max_body_bytes: the limit of a request body; a longer one closes the connection.
+        request_timeout_s: the time within which a request has to be complete; a later one closes the
+            connection.
     """
     protocol = h11.Connection(h11.SERVER)
     try:
         while True:
-            request = await _receive_request(stream, protocol, max_body_bytes)
+            request = None
+            with trio.move_on_after(request_timeout_s):
+                request = await _receive_request(stream, protocol, max_body_bytes)
             response = await answer(request) if request is not None else None
             if response is None:
                 return
